--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,312 @@
+/**
+ * A whole deployment as separate processes on loopback: a store, a backend server on each host and a
+ * daemon beside each. Every host has an IP number of its own.
+ */
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+import {request} from 'undici';
+
+import type {DaemonStatus} from '@dottereldrift/daemon/status.js';
+import type {
+  BackendServerOptions,
+  RunRecord,
+} from '@dottereldrift/standins/backend_server.js';
+import type {
+  StoreCounts,
+  StoreFaults,
+} from '@dottereldrift/standins/store_server.js';
+
+import type {Deployment} from './deployments.js';
+import {FleetProcess} from './processes.js';
+
+/** A host of the fleet. */
+export interface FleetHost {
+  readonly name: string;
+  readonly ip: string;
+  readonly dataCentre: string;
+  readonly service: string;
+  readonly settingsPath: string;
+  readonly recordsPath: string;
+  readonly serverOptions: BackendServerOptions;
+}
+
+/** How a fleet differs from its deployment. */
+export interface FleetOptions {
+  readonly deployment: Deployment;
+  /** Directory for settings and records. */
+  readonly directory: string;
+  /** Second and third number of the hosts' IP numbers, so that fleets run side by side. */
+  readonly network: string;
+  readonly stragglerShare: number;
+}
+
+const CALLER_PORT = 7101;
+const PEER_PORT = 7102;
+const SERVER_PORT = 7103;
+const OPERATOR_PORT = 7104;
+const BACKEND_PORT = 7110;
+const READY_TIMEOUT_MS = 60_000;
+const POLL_INTERVAL_MS = 50;
+const LAST_WORDS_LENGTH = 1_000;
+
+/** Key by which the daemons of a test fleet know each other. */
+export const TEST_PEER_KEY = 'test-peer-key-0123456789';
+/** Key by which the daemons of a test fleet know operators. */
+export const TEST_OPERATOR_KEY = 'test-operator-key-0123456789';
+
+const ROOT = fileURLToPath(new URL('../../../../', import.meta.url));
+const BUNDLE = join(ROOT, 'dist/dottereldrift.cjs');
+const STORE_MAIN = join(ROOT, 'packages/standins/dist/src/store_main.js');
+const BACKEND_MAIN = join(ROOT, 'packages/standins/dist/src/backend_main.js');
+
+/** A running fleet. */
+export class Fleet {
+  readonly hosts: readonly FleetHost[];
+  private store: FleetProcess | undefined;
+  private storeUrl = '';
+  private readonly daemons = new Map<string, FleetProcess>();
+  private readonly servers = new Map<string, FleetProcess>();
+
+  constructor(private readonly options: FleetOptions) {
+    mkdirSync(options.directory, {recursive: true});
+    this.hosts = createHosts(options);
+  }
+
+  /** Starts everything, submits the manifest and waits until every key has an owner. */
+  async start(): Promise<void> {
+    await this.startStore();
+    await Promise.all(this.hosts.map(host => this.startDaemon(host)));
+    await Promise.all(this.hosts.map(host => this.startServer(host)));
+    await this.submitManifest(this.options.deployment.manifest);
+    await this.waitUntilReady();
+  }
+
+  async startDaemon(host: FleetHost): Promise<FleetProcess> {
+    this.writeSettings(host);
+    const daemon = new FleetProcess(`daemon ${host.name}`, [
+      BUNDLE,
+      'daemon',
+      '--settings',
+      host.settingsPath,
+    ]);
+    this.daemons.set(host.name, daemon);
+    await daemon.waitForOutput('The daemon has started');
+    return daemon;
+  }
+
+  async startServer(host: FleetHost): Promise<FleetProcess> {
+    const server = new FleetProcess(`server ${host.name}`, [
+      BACKEND_MAIN,
+      JSON.stringify(host.serverOptions),
+    ]);
+    this.servers.set(host.name, server);
+    await server.waitForOutput('listening');
+    return server;
+  }
+
+  getHost(name: string): FleetHost {
+    const host = this.hosts.find(other => other.name === name);
+    if (host === undefined) throw new Error(`There is no host ${name}.`);
+    return host;
+  }
+
+  getDaemon(host: FleetHost): FleetProcess {
+    const daemon = this.daemons.get(host.name);
+    if (daemon === undefined)
+      throw new Error(`No daemon runs on ${host.name}.`);
+    return daemon;
+  }
+
+  getServer(host: FleetHost): FleetProcess {
+    const server = this.servers.get(host.name);
+    if (server === undefined)
+      throw new Error(`No server runs on ${host.name}.`);
+    return server;
+  }
+
+  /** Returns the base URL for callers of a host's daemon. */
+  getCallerUrl(host: FleetHost): string {
+    return `http://${host.ip}:${CALLER_PORT}`;
+  }
+
+  /** Calls a daemon's listener for operators. */
+  async callOperator(
+    host: FleetHost,
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    path: string,
+    body?: unknown,
+  ): Promise<{readonly status: number; readonly value: unknown}> {
+    const answer = await request(`http://${host.ip}:${OPERATOR_PORT}${path}`, {
+      method,
+      headers: {
+        authorization: `Bearer ${TEST_OPERATOR_KEY}`,
+        ...(body === undefined ? {} : {'content-type': 'application/json'}),
+      },
+      body: body === undefined ? null : JSON.stringify(body),
+    });
+    const text = await answer.body.text();
+    return {
+      status: answer.statusCode,
+      value: text === '' ? undefined : JSON.parse(text),
+    };
+  }
+
+  async getStatus(host: FleetHost): Promise<DaemonStatus> {
+    const answer = await this.callOperator(host, 'GET', '/status');
+    return answer.value as DaemonStatus;
+  }
+
+  async submitManifest(manifest: unknown): Promise<void> {
+    const host = this.hosts[0];
+    if (host === undefined) return;
+    const text = JSON.stringify(manifest);
+    const answer = await this.callOperator(host, 'PUT', '/manifest', {text});
+    if (answer.status >= 300) throw new Error(JSON.stringify(answer.value));
+  }
+
+  async setStoreFaults(faults: Partial<StoreFaults>): Promise<void> {
+    const answer = await request(`${this.storeUrl}/faults`, {
+      method: 'PUT',
+      body: JSON.stringify(faults),
+    });
+    await answer.body.dump();
+  }
+
+  async getStoreCounts(): Promise<StoreCounts> {
+    const answer = await request(`${this.storeUrl}/counts`);
+    return (await answer.body.json()) as StoreCounts;
+  }
+
+  /** Returns every run that the servers recorded, in the order in which they started. */
+  readRecords(): readonly RunRecord[] {
+    const records = this.hosts.flatMap(host =>
+      readRecordFile(host.recordsPath),
+    );
+    return records.sort((a, b) => a.startedAtMs - b.startedAtMs);
+  }
+
+  /** Waits until every running daemon is ready and every service is placed. */
+  async waitUntilReady(): Promise<void> {
+    await this.waitUntil(async () => {
+      const statuses = await Promise.all(
+        this.hosts.map(host => this.getStatus(host)),
+      );
+      return statuses.every(
+        status =>
+          status.isReady &&
+          status.services.every(service => service.ownedSlices > 0),
+      );
+    });
+  }
+
+  /** Polls until a condition holds. */
+  async waitUntil(
+    condition: () => Promise<boolean>,
+    limitMs = READY_TIMEOUT_MS,
+  ): Promise<void> {
+    const endMs = Date.now() + limitMs;
+    for (;;) {
+      const isMet = await condition().catch(() => false);
+      if (isMet) return;
+      if (Date.now() > endMs)
+        throw new Error('The condition was not met in time.');
+      await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+    }
+  }
+
+  /** Returns the last output of every process that has ended by itself. */
+  getLastWords(): readonly string[] {
+    return [...this.daemons.values(), ...this.servers.values()]
+      .filter(process => !process.isRunning())
+      .map(
+        process =>
+          `${process.name}: ${process.getOutput().slice(-LAST_WORDS_LENGTH)}`,
+      );
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    const all = [...this.daemons.values(), ...this.servers.values()];
+    await Promise.all(all.map(process => process.kill()));
+    await this.store?.kill();
+  }
+
+  private async startStore(): Promise<void> {
+    this.store = new FleetProcess('store', [STORE_MAIN]);
+    await this.store.waitForOutput('listening');
+    const port = /listening (\d+)/.exec(this.store.getOutput())?.[1] ?? '0';
+    this.storeUrl = `http://127.0.0.1:${port}`;
+  }
+
+  private writeSettings(host: FleetHost): void {
+    const peers = this.hosts
+      .slice(0, 3)
+      .map(other => ({ip: other.ip, port: PEER_PORT}));
+    const settings = {
+      host: host.name,
+      dataCentre: host.dataCentre,
+      region: this.options.deployment.region,
+      callerAddress: {ip: host.ip, port: CALLER_PORT},
+      peerAddress: {ip: host.ip, port: PEER_PORT},
+      serverAddress: {ip: host.ip, port: SERVER_PORT},
+      operatorAddress: {ip: host.ip, port: OPERATOR_PORT},
+      storeUrl: this.storeUrl,
+      peers,
+      peerKey: TEST_PEER_KEY,
+      operatorKey: TEST_OPERATOR_KEY,
+    };
+    writeFileSync(host.settingsPath, JSON.stringify(settings, undefined, 2));
+  }
+}
+
+function createHosts(options: FleetOptions): readonly FleetHost[] {
+  const {deployment, directory, network} = options;
+  const names = deployment.services.flatMap(plan =>
+    Array.from({length: plan.servers}, (_, index) => ({
+      plan,
+      name: `${plan.service}-${index + 1}`,
+    })),
+  );
+  return names.map(({plan, name}, index) => {
+    const ip = `127.${network}.${index + 1}`;
+    const dataCentre =
+      deployment.dataCentres[index % deployment.dataCentres.length] ?? '';
+    const recordsPath = join(directory, `${name}.records`);
+    return {
+      name,
+      ip,
+      dataCentre,
+      service: plan.service,
+      settingsPath: join(directory, `${name}.json`),
+      recordsPath,
+      serverOptions: {
+        service: plan.service,
+        host: name,
+        ip,
+        port: BACKEND_PORT,
+        daemonUrl: `http://${ip}:${SERVER_PORT}`,
+        slots: deployment.slots,
+        connections: deployment.connections,
+        serviceMs: plan.serviceMs,
+        stragglerShare: options.stragglerShare,
+        stragglerFactor: 50,
+        isFencing: true,
+        coldMs: 0,
+        recordsPath,
+      },
+    };
+  });
+}
+
+function readRecordFile(path: string): readonly RunRecord[] {
+  try {
+    return readFileSync(path, 'utf8')
+      .split('\n')
+      .filter(line => line.endsWith('}'))
+      .map(line => JSON.parse(line) as RunRecord);
+  } catch {
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,6 @@
+/**
+ * The command line of the program.
+ */
+import {runCli} from './cli.js';
+
+runCli(process.argv);
--- /dev/null
+++ b/packages/cli/src/tables.ts
@@ -0,0 +1,89 @@
+/**
+ * Formats answers of daemons as tables for people.
+ */
+import type {KindReport} from '@dottereldrift/daemon/burn_report.js';
+import type {DaemonStatus} from '@dottereldrift/daemon/status.js';
+
+const MS_PER_MINUTE = 60_000;
+
+/** Returns rows as columns of equal width. */
+export function formatTable(rows: ReadonlyArray<readonly string[]>): string {
+  const widths = (rows[0] ?? []).map((_, column) =>
+    Math.max(...rows.map(row => (row[column] ?? '').length)),
+  );
+  return rows
+    .map(row =>
+      row
+        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
+
+/** Formats the status of a daemon. */
+export function formatStatus(value: unknown): string {
+  const status = value as DaemonStatus;
+  const head = [
+    ['member', status.member],
+    ['ready', String(status.isReady)],
+    [
+      'lease',
+      status.isLeaseHeld
+        ? `held, ${status.leaseRemainingMs} ms left`
+        : 'not held',
+    ],
+    ['witnesses', status.witnesses.join(', ')],
+    ['manifest', `generation ${status.manifestGeneration}`],
+    [
+      'configuration',
+      status.isConfigurationFresh ? 'fresh' : 'may be out of date',
+    ],
+    ['live hosts', String(status.liveHosts)],
+  ];
+  const services = status.services.map(service => [
+    service.service,
+    String(service.generation),
+    String(service.ownedSlices),
+    String(service.slots),
+    String(service.running),
+    String(service.queued),
+    service.isLeaving ? 'leaving' : 'active',
+  ]);
+  const titles = [
+    'service',
+    'generation',
+    'slices',
+    'slots',
+    'running',
+    'queued',
+    'state',
+  ];
+  return `${formatTable(head)}\n\n${formatTable([titles, ...services])}`;
+}
+
+/** Formats the report on service-level burn. */
+export function formatReport(value: unknown): string {
+  const reports = value as readonly KindReport[];
+  const titles = [
+    'service',
+    'kind',
+    'objective',
+    'window',
+    'good',
+    'bad',
+    'burn',
+  ];
+  const rows = reports.flatMap(report =>
+    report.windows.map(window => [
+      report.service,
+      report.kind,
+      `${(report.objective * 100).toFixed(3)}%`,
+      `${window.windowMs / MS_PER_MINUTE} min`,
+      String(window.good),
+      String(window.bad),
+      window.burn.toFixed(2),
+    ]),
+  );
+  return formatTable([titles, ...rows]);
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,353 @@
+/**
+ * Puts the parts of a daemon together, and starts and stops them in order.
+ */
+import type {FastifyInstance} from 'fastify';
+
+import {createLog, type Log} from '@dottereldrift/core/log.js';
+import {createMetrics, type Metrics} from '@dottereldrift/core/metrics.js';
+import {
+  createNodeSystem,
+  type System,
+  waitFor,
+} from '@dottereldrift/core/system.js';
+import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import type {Session} from '@dottereldrift/membership/types.js';
+import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
+import {CallBudget} from '@dottereldrift/store/call_budget.js';
+import {HttpStore} from '@dottereldrift/store/http_store.js';
+import type {Address} from '@dottereldrift/core/types.js';
+
+import {BurnReport} from './burn_report.js';
+import {Coordinator} from './coordinator.js';
+import {DatagramChannel} from './datagram_channel.js';
+import {Entry} from './entry.js';
+import type {AttemptResult, Exchange} from './exchange.js';
+import {ExchangeFactory} from './exchange_factory.js';
+import {Forwarder} from './forwarder.js';
+import {Mover} from './mover.js';
+import {addOperatorRoutes} from './operator_listener.js';
+import {Owner} from './owner.js';
+import {PeerClients} from './peer_client.js';
+import {addPeerRoutes} from './peer_listener.js';
+import {addRequestRoutes, createListener} from './request_listener.js';
+import {addServerRoutes} from './server_listener.js';
+import {ServerRegistry} from './server_registry.js';
+import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
+import type {Settings} from './settings.js';
+import {StatusReader} from './status.js';
+import {StoreView} from './store_view.js';
+import {Takeover} from './takeover.js';
+import {WitnessKeeper} from './witness_keeper.js';
+
+/** A running daemon. */
+export interface Daemon {
+  /** Lets everything in flight end, hands slices over and stops. */
+  stop(): Promise<void>;
+}
+
+const SHUTDOWN_LIMIT_MS = 30_000;
+/** Time after which a leaving daemon takes no new work even if its slices are not moved. */
+const LEAVING_ADMISSION_MS = 3_000;
+const SHUTDOWN_POLL_MS = 20;
+
+/** Creates and starts a daemon; rejects when an address is taken. */
+export async function createDaemon(settings: Settings): Promise<Daemon> {
+  const daemon = new DaemonParts(settings, createNodeSystem());
+  await daemon.start();
+  return daemon;
+}
+
+class DaemonParts implements Daemon {
+  private readonly log: Log;
+  private readonly metrics: Metrics;
+  private readonly store: HttpStore;
+  private readonly view: StoreView;
+  private readonly channel: DatagramChannel;
+  private readonly takeover: Takeover;
+  private readonly keeper: SessionKeeper;
+  private readonly witnesses: WitnessKeeper;
+  private readonly registry: ServerRegistry;
+  private readonly owner: Owner;
+  private readonly mover: Mover;
+  private readonly forwarder: Forwarder;
+  private readonly entry: Entry;
+  private readonly coordinator: Coordinator;
+  private readonly report: BurnReport;
+  private readonly listeners: FastifyInstance[] = [];
+  private running: Array<Promise<void>> = [];
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly system: System,
+  ) {
+    const {limits} = settings;
+    this.log = createLog('daemon', settings.log.format, settings.log.level);
+    this.metrics = createMetrics(settings.statsdAddress);
+    const budget = new CallBudget(
+      system,
+      limits.storeCallsPerSecond,
+      limits.storeCallsBurst,
+    );
+    this.store = new HttpStore(settings.storeUrl, system, budget);
+    this.view = new StoreView(this.store, system, this.log.createPart('store'));
+    this.channel = new DatagramChannel(
+      settings.peerAddress,
+      settings.peerKey,
+      this.log.createPart('channel'),
+    );
+    const peers = new PeerClients(settings.peerKey);
+    const getSelf = () => this.keeper.getMember();
+    this.takeover = new Takeover(
+      this.store,
+      this.view,
+      peers,
+      getSelf,
+      (target, asked) => this.witnesses.voteOnFence(target, asked),
+      this.log.createPart('takeover'),
+    );
+    this.keeper = new SessionKeeper(
+      {
+        host: settings.host,
+        dataCentre: settings.dataCentre,
+        region: settings.region,
+        peerAddress: settings.peerAddress,
+        callerPort: settings.callerAddress.port,
+      },
+      system,
+      this.store,
+      this.view,
+      this.channel,
+      {tryEnd: (session, version) => this.tryEndEarlier(session, version)},
+      this.log.createPart('session'),
+    );
+    this.witnesses = new WitnessKeeper(
+      system,
+      getSelf,
+      this.view,
+      this.channel,
+      this.takeover,
+      this.log.createPart('witness'),
+    );
+    this.registry = new ServerRegistry(
+      system,
+      this.keeper,
+      (service, slots) => this.createPolicy(service, slots),
+      service => this.owner.getAssignment(service),
+      service => this.view.getManifest()?.manifest.services[service],
+      this.log.createPart('servers'),
+    );
+    this.owner = new Owner(system, this.keeper, this.registry, limits);
+    this.mover = new Mover(
+      system,
+      this.view,
+      this.owner,
+      peers,
+      this.log.createPart('mover'),
+    );
+    this.forwarder = new Forwarder(system, settings.peerKey);
+    this.entry = new Entry(
+      system,
+      this.view,
+      this.owner,
+      this.forwarder,
+      settings.host,
+    );
+    this.report = new BurnReport(system);
+    this.coordinator = new Coordinator(
+      system,
+      this.store,
+      this.view,
+      peers,
+      getSelf,
+      () => this.keeper.isHeld(),
+      (service, owner, nextOwner, refs) =>
+        this.mover.release(service, owner, nextOwner, refs),
+      this.log.createPart('coordinator'),
+    );
+  }
+
+  async start(): Promise<void> {
+    await this.openListeners();
+    await this.channel.open((datagram, from) => {
+      this.receiveDatagram(datagram, from);
+    });
+    this.view.addListener(() => {
+      this.applyView();
+    });
+    this.keeper.addRejoinListener(() => {
+      this.owner.resetMember();
+    });
+    this.keeper.addRenewalListener(() => {
+      this.registry.sendGrants();
+    });
+    this.witnesses.start();
+    this.registry.start();
+    this.running = [this.view.run(), this.keeper.run(), this.coordinator.run()];
+    this.log.writeInfo('The daemon has started.', {host: this.settings.host});
+  }
+
+  async stop(): Promise<void> {
+    this.log.writeInfo('The daemon is shutting down.');
+    this.keeper.startLeaving();
+    await this.waitUntil(() => this.hasNoSlices(), LEAVING_ADMISSION_MS);
+    this.owner.startClosing();
+    await this.waitUntil(
+      () => this.owner.getRunning() === 0,
+      SHUTDOWN_LIMIT_MS,
+    );
+    this.coordinator.stop();
+    this.witnesses.stop();
+    await Promise.all(this.listeners.map(listener => listener.close()));
+    await this.keeper.stop();
+    this.view.stop();
+    await this.registry.stop();
+    await this.forwarder.close();
+    await this.store.close();
+    this.channel.close();
+    this.metrics.close();
+    this.log.writeInfo('The daemon has stopped.');
+  }
+
+  private async openListeners(): Promise<void> {
+    const {settings} = this;
+    const {limits} = settings;
+    const factory = new ExchangeFactory(
+      this.system,
+      limits,
+      () => this.view.getManifest()?.manifest,
+    );
+    const callers = createListener(limits);
+    const observe = (exchange: Exchange, result: AttemptResult) => {
+      this.observe(exchange, result);
+    };
+    const handleCaller = (exchange: Exchange) => this.entry.handle(exchange);
+    addRequestRoutes(callers, 'caller', factory, handleCaller, observe);
+    const peers = createListener(limits);
+    await addPeerRoutes(peers, settings.peerKey, {
+      witnesses: this.witnesses,
+      owner: this.owner,
+      mover: this.mover,
+      system: this.system,
+      getSelf: () => this.keeper.getMember(),
+    });
+    const handlePeer = (exchange: Exchange) => this.owner.handle(exchange);
+    addRequestRoutes(peers, 'peer', factory, handlePeer, () => {});
+    const servers = createListener(limits);
+    addJsonParser(servers);
+    addServerRoutes(servers, settings.serverAddress.ip, this.registry);
+    const operators = createListener(limits);
+    addJsonParser(operators);
+    const status = new StatusReader(
+      this.system,
+      this.view,
+      this.keeper,
+      this.registry,
+      this.owner,
+    );
+    const {store, view, takeover, report} = this;
+    addOperatorRoutes(operators, settings.operatorKey, {
+      store,
+      view,
+      takeover,
+      status,
+      report,
+    });
+    await this.listen(peers, settings.peerAddress);
+    await this.listen(callers, settings.callerAddress);
+    await this.listen(servers, settings.serverAddress);
+    await this.listen(operators, settings.operatorAddress);
+  }
+
+  private async listen(app: FastifyInstance, address: Address): Promise<void> {
+    await app.listen({host: address.ip, port: address.port});
+    this.listeners.push(app);
+  }
+
+  private receiveDatagram(datagram: Datagram, from: Address): void {
+    const {body} = datagram;
+    if (body.case === 'heartbeat') {
+      const {host, incarnation, sequence} = body.value;
+      this.witnesses.receiveHeartbeat(
+        {host, incarnation},
+        Number(sequence),
+        from,
+      );
+    } else if (body.case === 'heartbeatAnswer') {
+      const {witnessHost, witnessIncarnation, sequence, fenced} = body.value;
+      const witness = {host: witnessHost, incarnation: witnessIncarnation};
+      this.keeper.receiveAnswer(witness, Number(sequence), fenced);
+    }
+  }
+
+  private applyView(): void {
+    for (const {assignment} of this.view.getAssignments())
+      this.owner.applyAssignment(assignment);
+    this.witnesses.dropEnded();
+    this.registry.sendGrants();
+  }
+
+  /**
+   * Ends an earlier incarnation on this host. This process listens on the peer address that the
+   * incarnation recorded, so the process that held it is gone, and its grants lapse with its lease.
+   * At any other address its witnesses must fence it.
+   */
+  private async tryEndEarlier(
+    session: Session,
+    version: number,
+  ): Promise<boolean> {
+    const {ip, port} = session.peerAddress;
+    const {peerAddress} = this.settings;
+    if (ip !== peerAddress.ip || port !== peerAddress.port) {
+      return this.takeover.tryEndMember(session.member);
+    }
+    await waitFor(this.system, EARLIER_GRANTS_LAPSE_MS);
+    return this.takeover.tryWriteEnd(session, version);
+  }
+
+  private createPolicy(service: string, slots: number) {
+    const maxQueued =
+      this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
+    return new FifoPolicy(this.system, slots, maxQueued);
+  }
+
+  private observe(exchange: Exchange, result: AttemptResult): void {
+    this.report.observe(exchange, result);
+    const outcome =
+      result.kind === 'answered' ? 'completed' : result.failure.outcome;
+    const tags = {
+      service: exchange.target.service,
+      kind: exchange.kind.name,
+      outcome,
+    };
+    const tookMs =
+      this.system.getNow().monotonicMs - exchange.receivedAt.monotonicMs;
+    this.metrics.recordDurationMs('request', tookMs, tags);
+  }
+
+  private hasNoSlices(): boolean {
+    const {host} = this.settings;
+    return this.view
+      .getAssignments()
+      .every(({assignment}) =>
+        assignment.slices.every(slice => slice.owner?.host !== host),
+      );
+  }
+
+  private async waitUntil(
+    isDone: () => boolean,
+    limitMs: number,
+  ): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + limitMs;
+    while (!isDone() && this.system.getNow().monotonicMs < endMs) {
+      await waitFor(this.system, SHUTDOWN_POLL_MS);
+    }
+  }
+}
+
+function addJsonParser(app: FastifyInstance): void {
+  app.addContentTypeParser(
+    'application/json',
+    {parseAs: 'string'},
+    app.getDefaultJsonParser('error', 'error'),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/entry.ts
@@ -0,0 +1,191 @@
+/**
+ * The entry's stage of a request: finds the daemon that owns it, sends it there, tries again where
+ * that is allowed, and tells the caller the outcome.
+ */
+import {hashKey} from '@dottereldrift/core/ring_hash.js';
+import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
+import {type System, waitFor} from '@dottereldrift/core/system.js';
+import type {ServiceName} from '@dottereldrift/core/types.js';
+import {findSlice} from '@dottereldrift/ownership/slices.js';
+import {getRetryDelayMs, isRetryAllowed} from '@dottereldrift/routing/retry.js';
+import {RetryBudget} from '@dottereldrift/routing/retry_budget.js';
+import type {
+  AttemptFailure,
+  Candidate,
+  RouteDecision,
+} from '@dottereldrift/routing/types.js';
+
+import type {AttemptResult, Exchange} from './exchange.js';
+import type {Forwarder} from './forwarder.js';
+import {getPosition, type Owner} from './owner.js';
+import type {StoreView} from './store_view.js';
+
+const ROUTE_WAIT_MS = 10;
+
+/** Routes requests. */
+export class Entry {
+  private readonly budgets = new Map<ServiceName, RetryBudget>();
+  /** Requests that this daemon has under way, by host. */
+  private readonly inFlight = new Map<string, number>();
+
+  constructor(
+    private readonly system: System,
+    private readonly view: StoreView,
+    private readonly owner: Owner,
+    private readonly forwarder: Forwarder,
+    private readonly selfHost: string,
+  ) {}
+
+  /** Handles a request until it is answered or has failed for good. */
+  async handle(exchange: Exchange): Promise<AttemptResult> {
+    const budget = this.getBudget(exchange.target.service);
+    budget.addRequest();
+    let attemptsMade = 0;
+    for (let retries = 0; ; retries++) {
+      const result = await this.tryOnce(exchange);
+      if (result.kind === 'answered') return result;
+      const {failure} = result;
+      if (failure.outcome === 'unknown') attemptsMade += 1;
+      const delayMs = getRetryDelayMs(
+        retries,
+        failure.retryAfterMs,
+        this.system.getRandom(),
+      );
+      if (!this.isRetryWorthwhile(exchange, failure, attemptsMade, delayMs))
+        return result;
+      if (failure.outcome === 'unknown' && !budget.tryRetry()) return result;
+      await waitFor(this.system, delayMs);
+      if (exchange.abandoned.aborted) return result;
+    }
+  }
+
+  private isRetryWorthwhile(
+    exchange: Exchange,
+    failure: AttemptFailure,
+    attemptsMade: number,
+    delayMs: number,
+  ): boolean {
+    if (FINAL_CODES.has(failure.code)) return false;
+    return isRetryAllowed({
+      failure,
+      isIdempotent: exchange.kind.idempotent,
+      attemptsMade,
+      maxAttempts: exchange.kind.maxAttempts,
+      isBodyKept: exchange.body.kind !== 'stream',
+      remainingMs: exchange.deadlineAtMs - this.system.getNow().monotonicMs,
+      delayMs,
+    });
+  }
+
+  private async tryOnce(exchange: Exchange): Promise<AttemptResult> {
+    const route = this.chooseRoute(exchange);
+    if (route.kind !== 'send') return failRoute(route.code, exchange);
+    const {candidate, generation} = route;
+    const firstGeneration = exchange.firstGeneration;
+    const {host} = candidate.member;
+    this.addInFlight(host, 1);
+    try {
+      const stamped = {...exchange, firstGeneration};
+      if (candidate.isLocal) return await this.owner.handle(stamped);
+      return await this.forwarder.forward(candidate, stamped, generation);
+    } finally {
+      this.addInFlight(host, -1);
+    }
+  }
+
+  private chooseRoute(exchange: Exchange): RouteDecision {
+    const {service} = exchange.target;
+    const position = getPosition(exchange);
+    if (position === undefined) return this.chooseAny(service);
+    const assignment = this.view.getAssignment(service)?.assignment;
+    const owner = findSlice(assignment?.slices ?? [], position)?.owner;
+    if (assignment === undefined || owner === undefined)
+      return {kind: 'wait', code: 'DD3004'};
+    const candidate = this.createCandidate(owner.host);
+    if (
+      candidate === undefined ||
+      candidate.member.incarnation !== owner.incarnation
+    ) {
+      return {kind: 'wait', code: 'DD3004'};
+    }
+    return {kind: 'send', candidate, generation: assignment.generation};
+  }
+
+  /** Picks the less busy of two random hosts that serve the service. */
+  private chooseAny(service: ServiceName): RouteDecision {
+    const hosts = this.getServingHosts(service);
+    if (hosts.length === 0) return {kind: 'wait', code: 'DD3024'};
+    const first =
+      hosts[Math.floor(this.system.getRandom() * hosts.length)] ?? '';
+    const second =
+      hosts[Math.floor(this.system.getRandom() * hosts.length)] ?? '';
+    const host =
+      this.getInFlight(second) < this.getInFlight(first) ? second : first;
+    const candidate = this.createCandidate(host);
+    if (candidate === undefined) return {kind: 'wait', code: 'DD3024'};
+    return {kind: 'send', candidate, generation: 0};
+  }
+
+  private getServingHosts(service: ServiceName): readonly string[] {
+    return this.view
+      .getLiveSessions()
+      .filter(
+        session =>
+          !session.isLeaving && !this.view.isDraining(session.member.host),
+      )
+      .filter(session =>
+        session.servers.some(
+          server => server.service === service && !server.isLeaving,
+        ),
+      )
+      .map(session => session.member.host);
+  }
+
+  private createCandidate(host: string): Candidate | undefined {
+    const session = this.view.getSession(host)?.session;
+    if (session === undefined || session.isEnded) return undefined;
+    const {member, peerAddress} = session;
+    return {member, peerAddress, isLocal: host === this.selfHost};
+  }
+
+  private getBudget(service: ServiceName): RetryBudget {
+    const present = this.budgets.get(service);
+    if (present !== undefined) return present;
+    const budget = new RetryBudget();
+    this.budgets.set(service, budget);
+    return budget;
+  }
+
+  private getInFlight(host: string): number {
+    return this.inFlight.get(host) ?? 0;
+  }
+
+  private addInFlight(host: string, change: number): void {
+    this.inFlight.set(host, this.getInFlight(host) + change);
+  }
+}
+
+/** Refusals that another try within the same request would only meet again. */
+const FINAL_CODES: ReadonlySet<MessageCode> = new Set([
+  'DD3006',
+  'DD3011',
+  'DD3012',
+  'DD3018',
+  'DD3019',
+  'DD3022',
+  'DD3025',
+  'DD3027',
+]);
+
+function failRoute(code: MessageCode, exchange: Exchange): AttemptResult {
+  const text = formatMessage(code, {service: exchange.target.service});
+  return {
+    kind: 'failed',
+    failure: {outcome: 'not-run', code, text, retryAfterMs: ROUTE_WAIT_MS},
+  };
+}
+
+/** Returns the ring position of a key, for explanations. */
+export function getKeyPosition(key: string): number {
+  return hashKey(key);
+}
--- /dev/null
+++ b/packages/daemon/src/exchange.ts
@@ -0,0 +1,70 @@
+/**
+ * One request on its way through the daemon, and the place where its answer goes.
+ */
+import type {Readable} from 'node:stream';
+
+import type {Instant} from '@dottereldrift/core/types.js';
+import type {RequestKind, ServiceRules} from '@dottereldrift/manifest/types.js';
+import type {
+  AttemptFailure,
+  RequestTarget,
+} from '@dottereldrift/routing/types.js';
+
+/** Body of a request: at hand as a whole, or streamed once. */
+export type RequestBody =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'buffered'; readonly bytes: Buffer}
+  | {readonly kind: 'stream'; readonly stream: Readable};
+
+/** A request as every stage of the daemon sees it. */
+export interface Exchange {
+  readonly method: string;
+  readonly target: RequestTarget;
+  readonly rules: ServiceRules;
+  readonly kind: RequestKind;
+  /** Headers for the backend server. */
+  readonly headers: Record<string, string | string[]>;
+  readonly body: RequestBody;
+  readonly receivedAt: Instant;
+  /** Monotonic time by which the caller needs the answer. */
+  readonly deadlineAtMs: number;
+  readonly caller: string;
+  readonly idempotencyKey: string | undefined;
+  /** Generation under which the request was first routed; undefined when nobody knows. */
+  readonly firstGeneration: number | undefined;
+  /** Wall-clock time at which the caller first sent it; undefined when nobody knows. */
+  readonly firstSentWallMs: number | undefined;
+  readonly answer: AnswerSink;
+  /** Ends when the caller leaves. */
+  readonly abandoned: AbortSignal;
+}
+
+/** Takes an answer. Every method but `abort` may be called in the order given only. */
+export interface AnswerSink {
+  /** Starts an answer that a backend server gave. */
+  startAnswer(status: number, headers: Record<string, string | string[]>): void;
+  /** Passes a part of the body on; false when the caller cannot keep up. */
+  writeChunk(chunk: Buffer): boolean;
+  /** Calls back once when the caller has caught up. */
+  waitForDrain(callback: () => void): void;
+  endAnswer(): void;
+  /** Breaks the connection so that the caller sees that the answer is not whole. */
+  abort(): void;
+}
+
+/** What came of an attempt. */
+export type AttemptResult =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly isCut: boolean;
+      /** Answer for the idempotency window, when it was to be kept and was whole. */
+      readonly kept?: KeptBody;
+    }
+  | {readonly kind: 'failed'; readonly failure: AttemptFailure};
+
+/** The answer that was passed on, for repeats. */
+export interface KeptBody {
+  readonly headerPairs: readonly string[];
+  readonly body: Buffer | undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/exchange_factory.ts
@@ -0,0 +1,278 @@
+/**
+ * Turns an HTTP request into an exchange: checks path, key, headers and body, and finds its rules.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import * as E from 'fp-ts/lib/Either.js';
+import * as O from 'fp-ts/lib/Option.js';
+
+import {createMessage, type Message} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+import {findKind} from '@dottereldrift/manifest/kind_match.js';
+import type {
+  Manifest,
+  RequestKind,
+  ServiceRules,
+} from '@dottereldrift/manifest/types.js';
+import {parseTarget} from '@dottereldrift/routing/request_target.js';
+import type {RequestTarget} from '@dottereldrift/routing/types.js';
+
+import {HttpAnswer} from './answer_writer.js';
+import type {Exchange, RequestBody} from './exchange.js';
+import {
+  CALLER_HEADER,
+  DEADLINE_HEADER,
+  filterHeaders,
+  FIRST_GENERATION_CALLER_HEADER,
+  FIRST_GENERATION_HEADER,
+  FIRST_SENT_HEADER,
+  getHeader,
+  type HeaderMap,
+  IDEMPOTENCY_HEADER,
+  PASSED_AUTHORIZATION_HEADER,
+  REMAINING_HEADER,
+} from './headers.js';
+import type {Limits} from './settings.js';
+
+const MAX_DEADLINE_MS = 600_000;
+const MAX_KEY_LENGTH = 1_024;
+const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
+
+/** A request that cannot be handled, with the status to answer. */
+export interface BadRequest {
+  readonly status: number;
+  readonly message: Message;
+}
+
+/** Whether a request came from a caller or from another daemon, whose internal headers are believed. */
+export type RequestSource = 'caller' | 'peer';
+
+interface FoundRules {
+  readonly target: RequestTarget;
+  readonly rules: ServiceRules;
+  readonly kind: RequestKind;
+}
+
+interface CheckedHeaders {
+  readonly deadlineMs: number | undefined;
+  readonly idempotencyKey: string | undefined;
+  readonly firstGeneration: number | undefined;
+  readonly firstSentWallMs: number | undefined;
+}
+
+/** Creates exchanges. */
+export class ExchangeFactory {
+  constructor(
+    private readonly system: System,
+    private readonly limits: Limits,
+    private readonly getManifest: () => Manifest | undefined,
+  ) {}
+
+  /** Checks a request and reads as much of its body as is kept for retries. */
+  async createExchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+    source: RequestSource,
+  ): Promise<E.Either<BadRequest, Exchange>> {
+    const found = this.findRules(request);
+    if (E.isLeft(found)) return found;
+    const checked = checkHeaders(request.headers, source);
+    if (E.isLeft(checked)) return checked;
+    const receivedAt = this.system.getNow();
+    const abandoned = watchAbandonment(request, response);
+    const body = await this.readBody(request);
+    if (E.isLeft(body)) return body;
+    const {target, rules, kind} = found.right;
+    const deadlineMs = checked.right.deadlineMs ?? kind.deadlineMs;
+    return E.right({
+      method: request.method ?? 'GET',
+      target,
+      rules,
+      kind,
+      headers: createPassedHeaders(request.headers, source),
+      body: body.right,
+      receivedAt,
+      deadlineAtMs: receivedAt.monotonicMs + deadlineMs,
+      caller: getCaller(request, source),
+      idempotencyKey: checked.right.idempotencyKey,
+      firstGeneration: checked.right.firstGeneration,
+      firstSentWallMs: checked.right.firstSentWallMs,
+      answer: new HttpAnswer(response),
+      abandoned,
+    });
+  }
+
+  private findRules(
+    request: IncomingMessage,
+  ): E.Either<BadRequest, FoundRules> {
+    const parsed = parseTarget(request.url ?? '/');
+    if (E.isLeft(parsed)) return E.left({status: 400, message: parsed.left});
+    const target = parsed.right;
+    const manifest = this.getManifest();
+    if (manifest === undefined)
+      return E.left({status: 503, message: createMessage('DD3023')});
+    const rules = Object.hasOwn(manifest.services, target.service)
+      ? manifest.services[target.service]
+      : undefined;
+    if (rules === undefined) {
+      return E.left({
+        status: 404,
+        message: createMessage('DD3001', {service: target.service}),
+      });
+    }
+    if (!isTargetValid(target, rules)) {
+      return E.left({
+        status: 400,
+        message: createMessage('DD3003', {path: target.path}),
+      });
+    }
+    const method = request.method ?? 'GET';
+    const kind = findKind(rules, method, target.path);
+    if (O.isNone(kind)) {
+      const values = {service: target.service, method, path: target.path};
+      return E.left({status: 404, message: createMessage('DD3002', values)});
+    }
+    return E.right({target, rules, kind: kind.value});
+  }
+
+  private async readBody(
+    request: IncomingMessage,
+  ): Promise<E.Either<BadRequest, RequestBody>> {
+    const length = request.headers['content-length'];
+    const hasBody =
+      request.headers['transfer-encoding'] !== undefined ||
+      Number(length ?? 0) > 0;
+    if (!hasBody) return E.right({kind: 'none'});
+    const declared = length === undefined ? Infinity : Number(length);
+    if (declared !== Infinity && declared > this.limits.bodyBytes)
+      return E.left(this.refuseBody());
+    if (declared > this.limits.bufferedBodyBytes) {
+      return E.right({kind: 'stream', stream: request});
+    }
+    return this.bufferBody(request);
+  }
+
+  private async bufferBody(
+    request: IncomingMessage,
+  ): Promise<E.Either<BadRequest, RequestBody>> {
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of request) chunks.push(chunk as Buffer);
+    } catch {
+      return E.left({status: 400, message: createMessage('DD3022')});
+    }
+    return E.right({kind: 'buffered', bytes: Buffer.concat(chunks)});
+  }
+
+  private refuseBody(): BadRequest {
+    return {
+      status: 413,
+      message: createMessage('DD3015', {limitBytes: this.limits.bodyBytes}),
+    };
+  }
+}
+
+function isTargetValid(target: RequestTarget, rules: ServiceRules): boolean {
+  const hasKey = target.key !== undefined;
+  if (hasKey !== (rules.division === 'byKey')) return false;
+  return (target.key?.length ?? 0) <= MAX_KEY_LENGTH;
+}
+
+function checkHeaders(
+  headers: HeaderMap,
+  source: RequestSource,
+): E.Either<BadRequest, CheckedHeaders> {
+  const isPeer = source === 'peer';
+  const deadlineName = isPeer ? REMAINING_HEADER : DEADLINE_HEADER;
+  const generationName = isPeer
+    ? FIRST_GENERATION_HEADER
+    : FIRST_GENERATION_CALLER_HEADER;
+  const deadline = parseInteger(
+    headers,
+    deadlineName,
+    isPeer ? 0 : 1,
+    MAX_DEADLINE_MS,
+  );
+  if (E.isLeft(deadline)) return deadline;
+  const generation = parseInteger(
+    headers,
+    generationName,
+    0,
+    Number.MAX_SAFE_INTEGER,
+  );
+  if (E.isLeft(generation)) return generation;
+  const firstSent = parseInteger(
+    headers,
+    FIRST_SENT_HEADER,
+    0,
+    Number.MAX_SAFE_INTEGER,
+  );
+  if (E.isLeft(firstSent)) return firstSent;
+  const idempotencyKey = getHeader(headers, IDEMPOTENCY_HEADER);
+  const isKeyValid =
+    idempotencyKey === undefined ||
+    (idempotencyKey.length > 0 &&
+      idempotencyKey.length <= MAX_IDEMPOTENCY_KEY_LENGTH);
+  if (!isKeyValid) {
+    const reason = `its length must be from 1 to ${MAX_IDEMPOTENCY_KEY_LENGTH}`;
+    return E.left(createHeaderFault(IDEMPOTENCY_HEADER, reason));
+  }
+  return E.right({
+    deadlineMs: deadline.right,
+    idempotencyKey,
+    firstGeneration: generation.right,
+    firstSentWallMs: firstSent.right,
+  });
+}
+
+function parseInteger(
+  headers: HeaderMap,
+  name: string,
+  min: number,
+  max: number,
+): E.Either<BadRequest, number | undefined> {
+  const text = getHeader(headers, name);
+  if (text === undefined) return E.right(undefined);
+  const value = Number(text);
+  const isValid = /^\d{1,16}$/.test(text) && value >= min && value <= max;
+  if (isValid) return E.right(value);
+  return E.left(
+    createHeaderFault(name, `it must be a whole number from ${min} to ${max}`),
+  );
+}
+
+function createHeaderFault(header: string, reason: string): BadRequest {
+  return {status: 400, message: createMessage('DD3013', {header, reason})};
+}
+
+function createPassedHeaders(
+  headers: HeaderMap,
+  source: RequestSource,
+): Record<string, string | string[]> {
+  const passed = filterHeaders(headers);
+  if (source === 'caller') return passed;
+  delete passed['authorization'];
+  const authorization = getHeader(headers, PASSED_AUTHORIZATION_HEADER);
+  if (authorization !== undefined) passed['authorization'] = authorization;
+  return passed;
+}
+
+function getCaller(request: IncomingMessage, source: RequestSource): string {
+  const named =
+    source === 'peer' ? getHeader(request.headers, CALLER_HEADER) : undefined;
+  return named ?? request.socket.remoteAddress ?? '';
+}
+
+function watchAbandonment(
+  request: IncomingMessage,
+  response: ServerResponse,
+): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  request.once('error', () => {
+    controller.abort();
+  });
+  return controller.signal;
+}
--- /dev/null
+++ b/packages/daemon/src/forwarder.ts
@@ -0,0 +1,142 @@
+/**
+ * Sends requests to the daemons that own them.
+ */
+import {Pool} from 'undici';
+
+import {formatUrl} from '@dottereldrift/core/member.js';
+import {
+  formatMessage,
+  getMessageCodes,
+  type MessageCode,
+} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+import type {Address, Outcome} from '@dottereldrift/core/types.js';
+import type {
+  AttemptFailure,
+  Candidate,
+  RequestTarget,
+} from '@dottereldrift/routing/types.js';
+
+import type {AttemptResult, Exchange} from './exchange.js';
+import {
+  CALLER_HEADER,
+  CODE_HEADER,
+  FIRST_GENERATION_HEADER,
+  GENERATION_HEADER,
+  getHeader,
+  type HeaderMap,
+  OUTCOME_HEADER,
+  PASSED_AUTHORIZATION_HEADER,
+  REMAINING_HEADER,
+} from './headers.js';
+import {parseNumberHeader, sendAttempt} from './http_attempt.js';
+
+/** Time beyond the deadline in which the owner's own word is awaited. */
+const GRACE_MS = 30;
+const CONNECT_TIMEOUT_MS = 500;
+const MAX_CONNECTIONS = 128;
+const MS_PER_SECOND = 1_000;
+const KNOWN_CODES: ReadonlySet<string> = new Set(getMessageCodes());
+
+/** Sends requests to other daemons. */
+export class Forwarder {
+  private readonly pools = new Map<string, Pool>();
+
+  constructor(
+    private readonly system: System,
+    private readonly peerKey: string,
+  ) {}
+
+  /** Sends a request to a daemon and passes its answer on. */
+  forward(
+    candidate: Candidate,
+    exchange: Exchange,
+    generation: number,
+  ): Promise<AttemptResult> {
+    const nowMs = this.system.getNow().monotonicMs;
+    const remainingMs = Math.max(0, Math.round(exchange.deadlineAtMs - nowMs));
+    return sendAttempt(this.system, {
+      dispatcher: this.getPool(candidate.peerAddress),
+      peerName: candidate.member.host,
+      method: exchange.method,
+      path: formatTarget(exchange.target),
+      headers: {
+        ...exchange.headers,
+        authorization: `Bearer ${this.peerKey}`,
+        ...createPassedAuthorization(exchange),
+        [REMAINING_HEADER]: String(remainingMs),
+        [CALLER_HEADER]: exchange.caller,
+        [GENERATION_HEADER]: String(generation),
+        ...createFirstGeneration(exchange),
+      },
+      body: exchange.body,
+      giveUpAtMs: exchange.deadlineAtMs + GRACE_MS,
+      deadlineMs: Math.round(
+        exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
+      ),
+      abandoned: exchange.abandoned,
+      answer: exchange.answer,
+      readFailure: readPeerFailure,
+      answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+      keepBytes: 0,
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+  }
+
+  private getPool(address: Address): Pool {
+    const url = formatUrl(address);
+    const present = this.pools.get(url);
+    if (present !== undefined) return present;
+    const pool = new Pool(url, {
+      connections: MAX_CONNECTIONS,
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.pools.set(url, pool);
+    return pool;
+  }
+}
+
+/** Returns the path of a target on the peer listener. */
+export function formatTarget(target: RequestTarget): string {
+  const key =
+    target.key === undefined ? '' : `/keys/${encodeURIComponent(target.key)}`;
+  return `/services/${target.service}${key}${target.path}`;
+}
+
+function createPassedAuthorization(exchange: Exchange): Record<string, string> {
+  const value = exchange.headers['authorization'];
+  return typeof value === 'string'
+    ? {[PASSED_AUTHORIZATION_HEADER]: value}
+    : {};
+}
+
+function createFirstGeneration(exchange: Exchange): Record<string, string> {
+  const {firstGeneration} = exchange;
+  if (firstGeneration === undefined) return {};
+  return {[FIRST_GENERATION_HEADER]: String(firstGeneration)};
+}
+
+function readPeerFailure(
+  _status: number,
+  headers: HeaderMap,
+): AttemptFailure | undefined {
+  const outcome = getHeader(headers, OUTCOME_HEADER) as Outcome | undefined;
+  if (outcome === 'completed') return undefined;
+  const code = getHeader(headers, CODE_HEADER) ?? '';
+  const known: MessageCode = KNOWN_CODES.has(code)
+    ? (code as MessageCode)
+    : 'DD3009';
+  return {
+    outcome: outcome === 'not-run' ? 'not-run' : 'unknown',
+    code: known,
+    text: formatMessage(known),
+    retryAfterMs: parseNumberHeader(headers, 'retry-after') * MS_PER_SECOND,
+    ownerGeneration: parseNumberHeader(headers, GENERATION_HEADER),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/headers.ts
@@ -0,0 +1,91 @@
+/**
+ * Names of headers, and which of them pass from one connection to the next.
+ */
+
+/** Prefix of the headers that only daemons may set. */
+export const INTERNAL_PREFIX = 'dottereldrift-';
+
+/** What became of the request: `completed`, `not-run` or `unknown`. */
+export const OUTCOME_HEADER = 'dottereldrift-outcome';
+/** Code of the message that explains the outcome. */
+export const CODE_HEADER = 'dottereldrift-code';
+/** Generation of the assignment that the answering owner knows. */
+export const GENERATION_HEADER = 'dottereldrift-generation';
+/** Time left for the request, in milliseconds. */
+export const REMAINING_HEADER = 'dottereldrift-remaining-ms';
+/** Who the caller is, for fairness. */
+export const CALLER_HEADER = 'dottereldrift-caller';
+/** A caller's own `authorization`, between daemons. */
+export const PASSED_AUTHORIZATION_HEADER = 'dottereldrift-authorization';
+/** Generation under which the request was first routed. */
+export const FIRST_GENERATION_HEADER = 'dottereldrift-first-generation';
+/** Start of the slice that a request belongs to. */
+export const SLICE_HEADER = 'dottereldrift-slice';
+/** Fencing token of the slice. */
+export const TOKEN_HEADER = 'dottereldrift-token';
+/** Wall-clock time at which the owner's lease ends, in milliseconds since the Unix epoch. */
+export const LEASE_END_HEADER = 'dottereldrift-lease-end-unix-ms';
+/** Monotonic time of the host at which the owner's lease ends, in milliseconds. */
+export const LEASE_END_MONOTONIC_HEADER =
+  'dottereldrift-lease-end-monotonic-ms';
+/** A backend server's refusal before running a request. */
+export const REFUSED_HEADER = 'dottereldrift-refused';
+/** Time that the caller allows, in milliseconds. */
+export const DEADLINE_HEADER = 'request-deadline-ms';
+/** Key by which repeats of a request are known. */
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
+/** Wall-clock time at which the caller first sent the request, in milliseconds since the epoch. */
+export const FIRST_SENT_HEADER = 'request-first-sent-unix-ms';
+/** Generation that an embedded client first routed by. */
+export const FIRST_GENERATION_CALLER_HEADER = 'request-first-generation';
+
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'expect',
+  'host',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Headers by lower-case name. */
+export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Returns the headers that pass on; internal ones that a caller or a server set are dropped. */
+export function filterHeaders(
+  headers: HeaderMap,
+): Record<string, string | string[]> {
+  const dropped = getNamedByConnection(headers);
+  const passed: Record<string, string | string[]> = {};
+  for (const name in headers) {
+    const value = headers[name];
+    if (value === undefined || HOP_HEADERS.has(name)) continue;
+    if (name.startsWith(INTERNAL_PREFIX) || dropped.includes(name)) continue;
+    passed[name] = value;
+  }
+  return passed;
+}
+
+/** Returns the single value of a header; undefined when it is absent. */
+export function getHeader(
+  headers: HeaderMap,
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+const NO_NAMES: readonly string[] = [];
+
+function getNamedByConnection(headers: HeaderMap): readonly string[] {
+  const value = headers['connection'];
+  if (value === undefined || value === 'keep-alive') return NO_NAMES;
+  return String(value)
+    .split(',')
+    .map(name => name.trim().toLowerCase());
+}
--- /dev/null
+++ b/packages/daemon/src/http_attempt.ts
@@ -0,0 +1,259 @@
+/**
+ * Sends one request over HTTP, once, and tells exactly what is known of it afterwards. As long as
+ * nothing has been written to a connection the request was not run; from then on, and until an
+ * answer says otherwise, it may have been.
+ */
+import type {Dispatcher} from 'undici';
+
+import {getErrorText} from '@dottereldrift/core/errors.js';
+import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+import type {Outcome} from '@dottereldrift/core/types.js';
+import type {AttemptFailure} from '@dottereldrift/routing/types.js';
+
+import type {
+  AnswerSink,
+  AttemptResult,
+  KeptBody,
+  RequestBody,
+} from './exchange.js';
+import {filterHeaders, getHeader, type HeaderMap} from './headers.js';
+
+/** One attempt. */
+export interface Attempt {
+  readonly dispatcher: Dispatcher;
+  /** Name of the other side, for messages. */
+  readonly peerName: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: RequestBody;
+  /** Monotonic time at which the attempt is given up. */
+  readonly giveUpAtMs: number;
+  /** The deadline that messages name, in milliseconds. */
+  readonly deadlineMs: number;
+  readonly abandoned: AbortSignal;
+  readonly answer: AnswerSink;
+  /** Reads a refusal from the head of an answer; undefined when the answer is for the caller. */
+  readonly readFailure: (
+    status: number,
+    headers: HeaderMap,
+  ) => AttemptFailure | undefined;
+  /** Headers added to the answer. */
+  readonly answerHeaders: Readonly<Record<string, string>>;
+  /** Largest body that is kept for repeats; 0 when none is to be kept. */
+  readonly keepBytes: number;
+}
+
+type GiveUpReason = 'deadline' | 'abandoned';
+
+/** Sends a request and passes its answer on. */
+export function sendAttempt(
+  system: System,
+  attempt: Attempt,
+): Promise<AttemptResult> {
+  return new Promise(resolve => {
+    const handler = new AttemptHandler(system, attempt, resolve);
+    handler.start();
+  });
+}
+
+class AttemptHandler implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private isSent = false;
+  private isOver = false;
+  private status = 0;
+  private hasAnswer = false;
+  private failure: AttemptFailure | undefined;
+  private giveUpReason: GiveUpReason | undefined;
+  private keptHeaders: Record<string, string | string[]> = {};
+  private keptChunks: Buffer[] | undefined;
+  private keptBytes = 0;
+  private cancelTimer: () => void = () => {};
+  private readonly abandon = () => {
+    this.endAttempt('abandoned');
+  };
+
+  constructor(
+    private readonly system: System,
+    private readonly attempt: Attempt,
+    private readonly resolve: (result: AttemptResult) => void,
+  ) {}
+
+  start(): void {
+    const {attempt} = this;
+    if (attempt.abandoned.aborted) {
+      this.endAttempt('abandoned');
+      return;
+    }
+    attempt.abandoned.addEventListener('abort', this.abandon);
+    const delayMs = attempt.giveUpAtMs - this.system.getNow().monotonicMs;
+    this.cancelTimer = this.system.startTimer(Math.max(0, delayMs), () => {
+      this.endAttempt('deadline');
+    });
+    this.dispatch();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.giveUpReason === undefined) this.isSent = true;
+    else controller.abort(new Error(this.giveUpReason));
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HeaderMap,
+  ): void {
+    if (status < 200) return;
+    this.status = status;
+    this.failure = this.attempt.readFailure(status, headers);
+    if (this.failure !== undefined) return;
+    this.hasAnswer = true;
+    const passed = Object.assign(
+      filterHeaders(headers),
+      this.attempt.answerHeaders,
+    );
+    if (this.attempt.keepBytes > 0) {
+      this.keptHeaders = filterHeaders(headers);
+      this.keptChunks = [];
+    }
+    this.attempt.answer.startAnswer(status, passed);
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (!this.hasAnswer) return;
+    this.keepChunk(chunk);
+    if (this.attempt.answer.writeChunk(chunk)) return;
+    controller.pause();
+    this.attempt.answer.waitForDrain(() => {
+      controller.resume();
+    });
+  }
+
+  onResponseEnd(): void {
+    if (this.failure !== undefined) {
+      this.finish({kind: 'failed', failure: this.failure});
+      return;
+    }
+    this.attempt.answer.endAnswer();
+    const kept = this.createKept();
+    const {status} = this;
+    this.finish({
+      kind: 'answered',
+      status,
+      isCut: false,
+      ...(kept === undefined ? {} : {kept}),
+    });
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    if (this.hasAnswer) {
+      this.attempt.answer.abort();
+      this.finish({kind: 'answered', status: this.status, isCut: true});
+    } else {
+      this.finish({
+        kind: 'failed',
+        failure: this.failure ?? this.createFailure(error),
+      });
+    }
+  }
+
+  private dispatch(): void {
+    const {attempt} = this;
+    const {body} = attempt;
+    try {
+      attempt.dispatcher.dispatch(
+        {
+          method: attempt.method as Dispatcher.HttpMethod,
+          path: attempt.path,
+          headers: attempt.headers,
+          body:
+            body.kind === 'none'
+              ? null
+              : body.kind === 'buffered'
+                ? body.bytes
+                : body.stream,
+        },
+        this,
+      );
+    } catch (error) {
+      this.finish({kind: 'failed', failure: this.createFailure(error)});
+    }
+  }
+
+  private endAttempt(reason: GiveUpReason): void {
+    if (this.isOver || this.giveUpReason !== undefined) return;
+    this.giveUpReason = reason;
+    if (this.controller !== undefined) {
+      this.controller.abort(new Error(reason));
+      return;
+    }
+    // Not yet written to a connection: `onRequestStart` will abort it before it is.
+    this.finish({
+      kind: 'failed',
+      failure: this.createFailure(new Error(reason)),
+    });
+  }
+
+  private createFailure(error: unknown): AttemptFailure {
+    const outcome: Exclude<Outcome, 'completed'> = this.isSent
+      ? 'unknown'
+      : 'not-run';
+    const code = this.chooseCode();
+    const text = formatMessage(code, {
+      peer: this.attempt.peerName,
+      reason: getErrorText(error),
+      deadlineMs: this.attempt.deadlineMs,
+    });
+    return {outcome, code, text, retryAfterMs: 0};
+  }
+
+  private chooseCode(): MessageCode {
+    if (this.giveUpReason === 'deadline')
+      return this.isSent ? 'DD3007' : 'DD3006';
+    if (this.giveUpReason === 'abandoned') return 'DD3022';
+    return this.isSent ? 'DD3009' : 'DD3008';
+  }
+
+  private keepChunk(chunk: Buffer): void {
+    if (this.keptChunks === undefined) return;
+    this.keptBytes += chunk.byteLength;
+    if (this.keptBytes <= this.attempt.keepBytes)
+      this.keptChunks.push(Buffer.from(chunk));
+    else this.keptChunks = [];
+  }
+
+  private createKept(): KeptBody | undefined {
+    if (this.keptChunks === undefined) return undefined;
+    const isWhole = this.keptBytes <= this.attempt.keepBytes;
+    const headerPairs = Object.entries(this.keptHeaders).flatMap(
+      ([name, value]) =>
+        (Array.isArray(value) ? value : [value]).flatMap(one => [name, one]),
+    );
+    return {
+      headerPairs,
+      body: isWhole ? Buffer.concat(this.keptChunks) : undefined,
+    };
+  }
+
+  private finish(result: AttemptResult): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    this.cancelTimer();
+    this.attempt.abandoned.removeEventListener('abort', this.abandon);
+    this.resolve(result);
+  }
+}
+
+/** Reads one header of an answer as a number; 0 when it is absent or not a number. */
+export function parseNumberHeader(headers: HeaderMap, name: string): number {
+  const value = Number(getHeader(headers, name) ?? 0);
+  return Number.isFinite(value) ? value : 0;
+}
--- /dev/null
+++ b/packages/daemon/src/mover.ts
@@ -0,0 +1,76 @@
+/**
+ * The old owner's part of a planned move: stops admission to slices, waits until nothing runs on
+ * them, hands their records over, and only then says that they are released.
+ */
+import type {Log} from '@dottereldrift/core/log.js';
+import {isSameMember} from '@dottereldrift/core/member.js';
+import {type System, waitFor} from '@dottereldrift/core/system.js';
+import type {Member, ServiceName} from '@dottereldrift/core/types.js';
+import type {SliceRef} from '@dottereldrift/ownership/types.js';
+
+import {encodeEntry} from './entry_codec.js';
+import type {Owner} from './owner.js';
+import {type PeerClients, PEER_CALL_TIMEOUT_MS} from './peer_client.js';
+import type {StoreView} from './store_view.js';
+
+const POLL_INTERVAL_MS = 5;
+const MAX_WAIT_MS = PEER_CALL_TIMEOUT_MS / 2;
+
+/** Releases slices of this daemon. */
+export class Mover {
+  constructor(
+    private readonly system: System,
+    private readonly view: StoreView,
+    private readonly owner: Owner,
+    private readonly peers: PeerClients,
+    private readonly log: Log,
+  ) {}
+
+  /** Stops admission and returns the slices that are idle and handed over within a short time. */
+  async release(
+    service: ServiceName,
+    owner: Member,
+    nextOwner: Member,
+    refs: readonly SliceRef[],
+  ): Promise<readonly SliceRef[]> {
+    const endMs = this.system.getNow().monotonicMs + MAX_WAIT_MS;
+    let idle = this.owner.releaseSlices(service, owner, refs);
+    while (
+      idle.length < refs.length &&
+      this.system.getNow().monotonicMs < endMs
+    ) {
+      await waitFor(this.system, POLL_INTERVAL_MS);
+      idle = this.owner.releaseSlices(service, owner, refs);
+    }
+    if (idle.length === 0) return [];
+    return (await this.tryHandOver(service, nextOwner, idle)) ? idle : [];
+  }
+
+  private async tryHandOver(
+    service: ServiceName,
+    nextOwner: Member,
+    refs: readonly SliceRef[],
+  ): Promise<boolean> {
+    const entries = this.owner.getEntries(service, refs);
+    if (entries.length === 0) return true;
+    const session = this.view.getSession(nextOwner.host)?.session;
+    if (session === undefined || !isSameMember(session.member, nextOwner))
+      return false;
+    const nowMs = this.system.getNow().monotonicMs;
+    const encoded = entries.map(entry => encodeEntry(service, entry, nowMs));
+    try {
+      const client = this.peers.getClient(session.peerAddress);
+      const answer = await client.handOverEntries({
+        service,
+        nextOwner,
+        entries: encoded,
+      });
+      return answer.accepted;
+    } catch (error) {
+      this.log.writeWarning('Records were not handed over.', {
+        reason: String(error),
+      });
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operator_listener.ts
@@ -0,0 +1,190 @@
+/**
+ * The listener for operators: status, explanations, the manifest, drains and fences.
+ */
+import type {FastifyInstance} from 'fastify';
+import * as E from 'fp-ts/lib/Either.js';
+
+import {createMessage, type Message} from '@dottereldrift/core/messages.js';
+import {hashKey} from '@dottereldrift/core/ring_hash.js';
+import {checkManifest} from '@dottereldrift/manifest/check.js';
+import {findSlice} from '@dottereldrift/ownership/slices.js';
+import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
+
+import {isAuthorized} from './access.js';
+import type {BurnReport} from './burn_report.js';
+import type {StatusReader} from './status.js';
+import {
+  DRAIN_PREFIX,
+  type StoreView,
+  SUBMITTED_MANIFEST_KEY,
+} from './store_view.js';
+import type {Takeover} from './takeover.js';
+
+/** What operators' calls are answered from. */
+export interface OperatorParts {
+  readonly store: ObjectStore;
+  readonly view: StoreView;
+  readonly takeover: Takeover;
+  readonly status: StatusReader;
+  readonly report: BurnReport;
+}
+
+interface ManifestBody {
+  readonly text: string;
+  readonly ifVersion?: number;
+}
+
+/** Adds the routes of operators to a listener. */
+export function addOperatorRoutes(
+  app: FastifyInstance,
+  operatorKey: string,
+  parts: OperatorParts,
+): void {
+  app.addHook('onRequest', (request, reply, done) => {
+    if (isAuthorized(request.headers.authorization, operatorKey)) {
+      done();
+      return;
+    }
+    void reply.code(401).send({...createMessage('DD4010')});
+  });
+  addReadRoutes(app, parts);
+  addManifestRoutes(app, parts);
+  addHostRoutes(app, parts);
+}
+
+function addReadRoutes(app: FastifyInstance, parts: OperatorParts): void {
+  app.get('/status', () => parts.status.readStatus());
+  app.get('/report', () => parts.report.readReport());
+  app.get<{Params: {readonly service: string; readonly key: string}}>(
+    '/explain/:service/:key',
+    (request, reply) => {
+      const {service, key} = request.params;
+      const assignment = parts.view.getAssignment(service)?.assignment;
+      if (assignment === undefined) {
+        return reply.code(404).send(createMessage('DD3001', {service}));
+      }
+      const position = hashKey(key);
+      const slice = findSlice(assignment.slices, position);
+      const host = slice?.owner?.host;
+      const session =
+        host === undefined ? undefined : parts.view.getSession(host)?.session;
+      return reply.send({
+        service,
+        key,
+        position,
+        generation: assignment.generation,
+        slice,
+        owner: session && {
+          host: session.member.host,
+          dataCentre: session.dataCentre,
+          isEnded: session.isEnded,
+          isLeaving: session.isLeaving,
+        },
+        isDraining: host !== undefined && parts.view.isDraining(host),
+      });
+    },
+  );
+}
+
+function addManifestRoutes(app: FastifyInstance, parts: OperatorParts): void {
+  app.get('/manifest', (_request, reply) => {
+    const submitted = parts.view.getSubmitted();
+    return reply.send({
+      submittedVersion: submitted?.version ?? 0,
+      status: parts.view.getStatus()?.value ?? null,
+      accepted: parts.view.getManifest() ?? null,
+    });
+  });
+  app.put<{Body: ManifestBody}>('/manifest', async (request, reply) => {
+    const {text, ifVersion} = request.body;
+    const checked = checkManifest(text);
+    if (E.isLeft(checked)) {
+      const message = createMessage('DD5002', {count: checked.left.length});
+      return reply.code(422).send({...message, faults: checked.left});
+    }
+    const read = await parts.store.getObject(SUBMITTED_MANIFEST_KEY)();
+    if (E.isLeft(read))
+      return reply.code(503).send(createStoreMessage(read.left));
+    const found = read.right?.version ?? 0;
+    if (ifVersion !== undefined && ifVersion !== found) {
+      return reply.code(409).send({
+        ...createMessage('DD5003', {expected: ifVersion, found}),
+        version: found,
+      });
+    }
+    const value = Buffer.from(text);
+    const written = await parts.store.updateObject(
+      SUBMITTED_MANIFEST_KEY,
+      found,
+      value,
+    )();
+    if (E.isLeft(written))
+      return reply.code(409).send(createStoreMessage(written.left));
+    parts.view.applyObject({
+      key: SUBMITTED_MANIFEST_KEY,
+      version: written.right,
+      value,
+    });
+    return reply.send({version: written.right});
+  });
+}
+
+function addHostRoutes(app: FastifyInstance, parts: OperatorParts): void {
+  app.post<{Params: {readonly host: string}}>(
+    '/drain/:host',
+    async (request, reply) => {
+      const {host} = request.params;
+      if (parts.view.getSession(host) === undefined) {
+        return reply.code(404).send(createMessage('DD5004', {host}));
+      }
+      if (parts.view.isDraining(host))
+        return reply.send(createMessage('DD5005', {host}));
+      const key = `${DRAIN_PREFIX}${host}`;
+      const value = Buffer.from(JSON.stringify({host}));
+      const written = await parts.store.updateObject(key, 0, value)();
+      if (E.isLeft(written) && written.left.kind !== 'conflict') {
+        return reply.code(503).send(createStoreMessage(written.left));
+      }
+      return reply.send(createMessage('DD5005', {host}));
+    },
+  );
+  app.delete<{Params: {readonly host: string}}>(
+    '/drain/:host',
+    async (request, reply) => {
+      const {host} = request.params;
+      const version = parts.view.getDrainVersion(host);
+      if (version === 0)
+        return reply.code(404).send(createMessage('DD5004', {host}));
+      const deleted = await parts.store.deleteObject(
+        `${DRAIN_PREFIX}${host}`,
+        version,
+      )();
+      if (E.isLeft(deleted))
+        return reply.code(503).send(createStoreMessage(deleted.left));
+      return reply.code(204).send();
+    },
+  );
+  app.post<{Params: {readonly host: string}}>(
+    '/fence/:host',
+    async (request, reply) => {
+      const {host} = request.params;
+      const member = await parts.takeover.forceEnd(host);
+      if (member === undefined)
+        return reply.code(404).send(createMessage('DD5004', {host}));
+      return reply.send(createMessage('DD5006', {...member}));
+    },
+  );
+}
+
+function createStoreMessage(
+  failure: StoreFailure,
+): Message & {readonly version?: number} {
+  if (failure.kind === 'unknown') return createMessage('DD5007');
+  const code = failure.kind === 'conflict' ? 'DD2003' : 'DD2001';
+  const version = failure.foundVersion;
+  return {
+    code,
+    text: failure.text,
+    ...(version === undefined ? {} : {version}),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/peer_listener.ts
@@ -0,0 +1,85 @@
+/**
+ * The listener for other daemons: forwarded requests, and the rare calls of the peer service.
+ */
+import type {ConnectRouter} from '@connectrpc/connect';
+import {fastifyConnectPlugin} from '@connectrpc/connect-fastify';
+import type {FastifyInstance} from 'fastify';
+
+import {createMessage} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+import type {Member} from '@dottereldrift/core/types.js';
+import {parseMember} from '@dottereldrift/membership/session_record.js';
+import {PeerService} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+
+import {isAuthorized} from './access.js';
+import {parseEntry} from './entry_codec.js';
+import type {Mover} from './mover.js';
+import type {Owner} from './owner.js';
+import type {WitnessKeeper} from './witness_keeper.js';
+
+/** What the peer service is answered from. */
+export interface PeerServiceParts {
+  readonly witnesses: WitnessKeeper;
+  readonly owner: Owner;
+  readonly mover: Mover;
+  readonly system: System;
+  readonly getSelf: () => Member;
+}
+
+/** Adds the check of the peer key, and the peer service, to a listener. */
+export async function addPeerRoutes(
+  app: FastifyInstance,
+  peerKey: string,
+  parts: PeerServiceParts,
+): Promise<void> {
+  app.addHook('onRequest', (request, reply, done) => {
+    if (isAuthorized(request.headers.authorization, peerKey)) {
+      done();
+      return;
+    }
+    void reply.code(401).send({...createMessage('DD4010')});
+  });
+  await app.register(fastifyConnectPlugin, {
+    routes: router => {
+      addPeerService(router, parts);
+    },
+  });
+}
+
+function addPeerService(router: ConnectRouter, parts: PeerServiceParts): void {
+  router.service(PeerService, {
+    fence: request => {
+      const target = parseMember(request.target);
+      const witness = parseMember(request.witness);
+      return {granted: parts.witnesses.voteOnFence(target, witness)};
+    },
+    releaseSlices: async request => {
+      const refs = request.slices.map(ref => ({
+        start: ref.start,
+        token: Number(ref.token),
+      }));
+      const owner = parseMember(request.owner);
+      const nextOwner = parseMember(request.nextOwner);
+      const released = await parts.mover.release(
+        request.service,
+        owner,
+        nextOwner,
+        refs,
+      );
+      return {
+        released: released.map(ref => ({
+          start: ref.start,
+          token: BigInt(ref.token),
+        })),
+      };
+    },
+    handOverEntries: request => {
+      const nextOwner = parseMember(request.nextOwner);
+      if (nextOwner.incarnation !== parts.getSelf().incarnation)
+        return {accepted: false};
+      const nowMs = parts.system.getNow().monotonicMs;
+      const entries = request.entries.map(entry => parseEntry(entry, nowMs));
+      return {accepted: parts.owner.tryAbsorbEntries(request.service, entries)};
+    },
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/request_listener.ts
@@ -0,0 +1,147 @@
+/**
+ * Listens for requests: the callers' listener passes them to the entry stage, the peers' listener to
+ * the owner stage. Both read and write the same way.
+ */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import fastify, {type FastifyInstance} from 'fastify';
+import * as E from 'fp-ts/lib/Either.js';
+
+import {getErrorText} from '@dottereldrift/core/errors.js';
+import {createMessage, formatMessage} from '@dottereldrift/core/messages.js';
+import type {AttemptFailure} from '@dottereldrift/routing/types.js';
+
+import {type Problem, writeProblem} from './answer_writer.js';
+import type {AttemptResult, Exchange} from './exchange.js';
+import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import type {Limits} from './settings.js';
+
+/** Handles one exchange. */
+export type ExchangeHandler = (exchange: Exchange) => Promise<AttemptResult>;
+
+/** Notes how an exchange ended, for reports and metrics. */
+export type ExchangeObserver = (
+  exchange: Exchange,
+  result: AttemptResult,
+) => void;
+
+const KEEP_ALIVE_MS = 65_000;
+const REQUEST_HEAD_TIMEOUT_MS = 10_000;
+
+/** Creates a listener with the bounds of this daemon. */
+export function createListener(limits: Limits): FastifyInstance {
+  const app = fastify({
+    bodyLimit: limits.bodyBytes,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    exposeHeadRoutes: false,
+    routerOptions: {maxParamLength: 8_192},
+    http: {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: REQUEST_HEAD_TIMEOUT_MS,
+    },
+    forceCloseConnections: 'idle',
+  });
+  app.removeAllContentTypeParsers();
+  return app;
+}
+
+/** Adds the routes of requests to a listener. */
+export function addRequestRoutes(
+  app: FastifyInstance,
+  source: RequestSource,
+  factory: ExchangeFactory,
+  handle: ExchangeHandler,
+  observe: ExchangeObserver,
+): void {
+  app.addContentTypeParser('*', (_request, _payload, done) => {
+    done(null);
+  });
+  app.all('/services/*', (request, reply) => {
+    reply.hijack();
+    void serveRequest(request.raw, reply.raw, source, factory, handle, observe);
+  });
+  app.setNotFoundHandler((request, reply) => {
+    reply.hijack();
+    const path = request.url.slice(0, 200);
+    writeProblem(reply.raw, {
+      status: 404,
+      outcome: 'not-run',
+      message: createMessage('DD3003', {path}),
+      retryAfterMs: 0,
+    });
+  });
+}
+
+async function serveRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  source: RequestSource,
+  factory: ExchangeFactory,
+  handle: ExchangeHandler,
+  observe: ExchangeObserver,
+): Promise<void> {
+  const created = await factory.createExchange(request, response, source);
+  if (E.isLeft(created)) {
+    const {status, message} = created.left;
+    request.resume();
+    writeProblem(response, {
+      status,
+      outcome: 'not-run',
+      message,
+      retryAfterMs: 0,
+    });
+    return;
+  }
+  const exchange = created.right;
+  const result = await handle(exchange).catch((error: unknown) =>
+    createDefect(error),
+  );
+  observe(exchange, result);
+  if (result.kind === 'answered' || response.destroyed) return;
+  if (exchange.body.kind === 'stream') request.resume();
+  writeProblem(response, createProblem(result.failure));
+}
+
+/** A defect of this program ends one request, never the process; the request may have run. */
+function createDefect(error: unknown): AttemptResult {
+  const text = formatMessage('DD3099', {reason: getErrorText(error)});
+  return {
+    kind: 'failed',
+    failure: {outcome: 'unknown', code: 'DD3099', text, retryAfterMs: 0},
+  };
+}
+
+function createProblem(failure: AttemptFailure): Problem {
+  const {outcome, code, text, retryAfterMs, ownerGeneration} = failure;
+  return {
+    status: chooseStatus(failure),
+    outcome,
+    message: {code, text},
+    retryAfterMs,
+    ...(ownerGeneration === undefined ? {} : {generation: ownerGeneration}),
+  };
+}
+
+function chooseStatus(failure: AttemptFailure): number {
+  switch (failure.code) {
+    case 'DD3007':
+    case 'DD3006':
+      return 504;
+    case 'DD3009':
+      return 502;
+    case 'DD3011':
+    case 'DD3012':
+    case 'DD3025':
+      return 429;
+    case 'DD3018':
+    case 'DD3020':
+    case 'DD3027':
+      return 409;
+    case 'DD3017':
+      return 421;
+    case 'DD3099':
+      return 500;
+    default:
+      return 503;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,112 @@
+/**
+ * The settings of a daemon, read from a JSON file.
+ */
+import {readFileSync} from 'node:fs';
+
+import * as E from 'fp-ts/lib/Either.js';
+import {z} from 'zod';
+
+import {getErrorText} from '@dottereldrift/core/errors.js';
+import {formatMessage} from '@dottereldrift/core/messages.js';
+import {checkText} from '@dottereldrift/manifest/check.js';
+import type {Fault} from '@dottereldrift/manifest/types.js';
+
+const MIN_KEY_LENGTH = 16;
+const MAX_PORT = 65_535;
+const KIBIBYTE = 1_024;
+const MEBIBYTE = 1_024 * KIBIBYTE;
+
+const nameSchema = z
+  .string()
+  .regex(
+    /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$/,
+    'allowed are letters, digits, ., _ and -',
+  );
+
+const addressSchema = z.strictObject({
+  ip: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(1).max(MAX_PORT),
+});
+
+const limitsSchema = z.strictObject({
+  bufferedBodyBytes: z
+    .number()
+    .int()
+    .min(0)
+    .max(MEBIBYTE)
+    .default(64 * KIBIBYTE),
+  bodyBytes: z
+    .number()
+    .int()
+    .min(KIBIBYTE)
+    .max(1_024 * MEBIBYTE)
+    .default(64 * MEBIBYTE),
+  headerBytes: z
+    .number()
+    .int()
+    .min(KIBIBYTE)
+    .max(64 * KIBIBYTE)
+    .default(16 * KIBIBYTE),
+  callerConnections: z.number().int().min(1).max(100_000).default(10_000),
+  storeCallsPerSecond: z.number().min(1).max(1_000).default(20),
+  storeCallsBurst: z.number().int().min(1).max(1_000).default(60),
+  idempotencyEntries: z.number().int().min(1).max(10_000_000).default(200_000),
+  idempotencyBytes: z
+    .number()
+    .int()
+    .min(KIBIBYTE)
+    .default(64 * MEBIBYTE),
+  idempotencyRetentionMs: z
+    .number()
+    .int()
+    .min(1_000)
+    .max(86_400_000)
+    .default(600_000),
+  keptAnswerBytes: z
+    .number()
+    .int()
+    .min(0)
+    .max(MEBIBYTE)
+    .default(16 * KIBIBYTE),
+});
+
+/** Schema of the settings. */
+export const settingsSchema = z.strictObject({
+  host: nameSchema,
+  dataCentre: nameSchema,
+  region: nameSchema,
+  callerAddress: addressSchema,
+  peerAddress: addressSchema,
+  serverAddress: addressSchema,
+  operatorAddress: addressSchema,
+  storeUrl: z.url({protocol: /^http$/}),
+  peers: z.array(addressSchema).max(64).default([]),
+  peerKey: z.string().min(MIN_KEY_LENGTH),
+  operatorKey: z.string().min(MIN_KEY_LENGTH),
+  statsdAddress: addressSchema.optional(),
+  log: z
+    .strictObject({
+      format: z.enum(['json', 'pretty', 'hidden']).default('json'),
+      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    })
+    .prefault({}),
+  limits: limitsSchema.prefault({}),
+});
+
+/** Settings of a daemon. */
+export type Settings = Readonly<z.infer<typeof settingsSchema>>;
+
+/** Bounds that the settings give. */
+export type Limits = Settings['limits'];
+
+/** Reads and checks a settings file. */
+export function readSettings(
+  path: string,
+): E.Either<readonly Fault[], Settings> {
+  try {
+    return checkText(settingsSchema, readFileSync(path, 'utf8'), path);
+  } catch (error) {
+    const reason = formatMessage('DD1001', {path, reason: getErrorText(error)});
+    return E.left([{path: '$', reason}]);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/status.ts
@@ -0,0 +1,89 @@
+/**
+ * What a daemon says of itself to operators.
+ */
+import type {System} from '@dottereldrift/core/system.js';
+import {formatMember} from '@dottereldrift/core/member.js';
+import {getOwnedSlices} from '@dottereldrift/ownership/slices.js';
+
+import type {Owner} from './owner.js';
+import type {ServerRegistry} from './server_registry.js';
+import type {SessionKeeper} from './session_keeper.js';
+import type {StoreView} from './store_view.js';
+
+/** Silence of the store after which the configuration may be out of date. */
+const FRESHNESS_LIMIT_MS = 30_000;
+
+/** Status of one service on one host. */
+export interface ServiceStatus {
+  readonly service: string;
+  readonly generation: number;
+  readonly ownedSlices: number;
+  readonly slots: number;
+  readonly running: number;
+  readonly queued: number;
+  readonly isLeaving: boolean;
+}
+
+/** Status of a daemon. */
+export interface DaemonStatus {
+  readonly member: string;
+  readonly isReady: boolean;
+  readonly isLeaseHeld: boolean;
+  /** Time that the lease still lasts, in milliseconds. */
+  readonly leaseRemainingMs: number;
+  readonly witnesses: readonly string[];
+  readonly manifestGeneration: number;
+  /** False when the store has been silent so long that a newer configuration may exist. */
+  readonly isConfigurationFresh: boolean;
+  readonly liveHosts: number;
+  readonly services: readonly ServiceStatus[];
+}
+
+/** Reads the status of this daemon. */
+export class StatusReader {
+  constructor(
+    private readonly system: System,
+    private readonly view: StoreView,
+    private readonly keeper: SessionKeeper,
+    private readonly registry: ServerRegistry,
+    private readonly owner: Owner,
+  ) {}
+
+  readStatus(): DaemonStatus {
+    const isLeaseHeld = this.keeper.isHeld();
+    const leaseLeftMs =
+      this.keeper.getEnd().monotonicMs - this.system.getNow().monotonicMs;
+    const manifestGeneration = this.view.getManifest()?.generation ?? 0;
+    return {
+      member: formatMember(this.keeper.getMember()),
+      isReady: isLeaseHeld && manifestGeneration > 0,
+      isLeaseHeld,
+      leaseRemainingMs: Math.max(0, Math.round(leaseLeftMs)),
+      witnesses: (this.keeper.getSession()?.witnesses ?? []).map(formatMember),
+      manifestGeneration,
+      isConfigurationFresh: this.view.getSilenceMs() < FRESHNESS_LIMIT_MS,
+      liveHosts: this.view.getLiveSessions().length,
+      services: this.registry
+        .getServers()
+        .map(server => this.readService(server.info.service)),
+    };
+  }
+
+  private readService(service: string): ServiceStatus {
+    const assignment = this.owner.getAssignment(service);
+    const server = this.registry.getServer(service);
+    const owned = getOwnedSlices(
+      assignment?.slices ?? [],
+      this.keeper.getMember(),
+    );
+    return {
+      service,
+      generation: assignment?.generation ?? 0,
+      ownedSlices: owned.length,
+      slots: server?.info.slots ?? 0,
+      running: server?.policy.getRunning() ?? 0,
+      queued: server?.policy.getQueued() ?? 0,
+      isLeaving: server?.info.isLeaving ?? false,
+    };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/witness_keeper.ts
@@ -0,0 +1,129 @@
+/**
+ * This daemon as a witness: answers heartbeats, votes on losses and starts the takeover of members
+ * whose leases have lapsed.
+ */
+import type {Log} from '@dottereldrift/core/log.js';
+import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
+import type {System} from '@dottereldrift/core/system.js';
+import type {Address, Instant, Member} from '@dottereldrift/core/types.js';
+import {TAKEOVER_STAGGER_MS} from '@dottereldrift/membership/constants.js';
+import type {Session} from '@dottereldrift/membership/types.js';
+import {
+  applyFence,
+  applyHeartbeat,
+  forgetMember,
+  isLapsed,
+  type WitnessState,
+} from '@dottereldrift/membership/witness.js';
+
+import type {DatagramChannel} from './datagram_channel.js';
+import type {StoreView} from './store_view.js';
+import type {Takeover} from './takeover.js';
+
+const CHECK_INTERVAL_MS = 100;
+const MS_BETWEEN_TRIES = 500;
+
+/** Keeps the promises of a witness. */
+export class WitnessKeeper {
+  private state: WitnessState = new Map();
+  /** When a session that names this witness was first seen, for members never heard. */
+  private readonly firstSeen = new Map<string, Instant>();
+  private readonly lastTriedMs = new Map<string, number>();
+  private isStopped = false;
+
+  constructor(
+    private readonly system: System,
+    private readonly getSelf: () => Member,
+    private readonly view: StoreView,
+    private readonly channel: DatagramChannel,
+    private readonly takeover: Takeover,
+    private readonly log: Log,
+  ) {}
+
+  /** Answers a heartbeat. */
+  receiveHeartbeat(member: Member, sequence: number, from: Address): void {
+    const step = applyHeartbeat(this.state, member, this.system.getNow());
+    this.state = step.state;
+    const self = this.getSelf();
+    this.channel.sendAnswer(from, {
+      witnessHost: self.host,
+      witnessIncarnation: self.incarnation,
+      sequence,
+      fenced: !step.isGranted,
+    });
+  }
+
+  /** Votes on the loss of a member; only the incarnation that is asked may vote. */
+  voteOnFence(target: Member, asked: Member): boolean {
+    if (!isSameMember(asked, this.getSelf())) return false;
+    const step = applyFence(this.state, target, this.system.getNow());
+    this.state = step.state;
+    return step.isGranted;
+  }
+
+  /** Watches the leases until it is stopped. */
+  start(): void {
+    const check = () => {
+      if (this.isStopped) return;
+      this.checkLeases();
+      this.system.startTimer(CHECK_INTERVAL_MS, check);
+    };
+    check();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Forgets the members that have ended. */
+  dropEnded(): void {
+    for (const record of this.state.values()) {
+      if (this.view.isEnded(record.member))
+        this.state = forgetMember(this.state, record.member);
+    }
+    for (const name of this.firstSeen.keys()) {
+      const host = name.slice(0, name.lastIndexOf('#'));
+      const session = this.view.getSession(host)?.session;
+      if (
+        session === undefined ||
+        session.isEnded ||
+        formatMember(session.member) !== name
+      ) {
+        this.firstSeen.delete(name);
+        this.lastTriedMs.delete(name);
+      }
+    }
+  }
+
+  private checkLeases(): void {
+    const now = this.system.getNow();
+    for (const session of this.view.getLiveSessions()) {
+      const rank = session.witnesses.findIndex(other =>
+        isSameMember(other, this.getSelf()),
+      );
+      const isWard = rank >= 0 && !isSameMember(session.member, this.getSelf());
+      if (isWard && this.isLost(session, rank, now))
+        this.startTakeover(session, now);
+    }
+  }
+
+  private isLost(session: Session, rank: number, now: Instant): boolean {
+    const name = formatMember(session.member);
+    const record = this.state.get(name);
+    if (!this.firstSeen.has(name)) this.firstSeen.set(name, now);
+    const since = record?.heardAt ?? this.firstSeen.get(name) ?? now;
+    const delayMs = rank * TAKEOVER_STAGGER_MS;
+    return isLapsed({...since, monotonicMs: since.monotonicMs + delayMs}, now);
+  }
+
+  private startTakeover(session: Session, now: Instant): void {
+    const name = formatMember(session.member);
+    const lastTriedMs = this.lastTriedMs.get(name) ?? -Infinity;
+    if (now.monotonicMs - lastTriedMs < MS_BETWEEN_TRIES) return;
+    this.lastTriedMs.set(name, now.monotonicMs);
+    this.log.writeInfo('A lease has lapsed; the takeover starts.', {
+      member: name,
+    });
+    void this.takeover.tryEndMember(session.member);
+  }
+}
--- /dev/null
+++ b/packages/limits/src/fifo_policy.ts
@@ -0,0 +1,81 @@
+/**
+ * First come, first served, with a bounded queue. It is the baseline that other policies are
+ * compared with.
+ */
+import type {MessageCode} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+
+import type {SlotPolicy, SlotRequest} from './types.js';
+
+const RETRY_AFTER_MS = 100;
+
+/** Slots given in the order of arrival. */
+export class FifoPolicy implements SlotPolicy {
+  private queue: SlotRequest[] = [];
+  private running = 0;
+
+  constructor(
+    private readonly system: System,
+    private slots: number,
+    private readonly maxQueued: number,
+  ) {}
+
+  requestSlot(request: SlotRequest): () => void {
+    if (this.running < this.slots) {
+      this.startRequest(request);
+      return () => {};
+    }
+    if (this.queue.length >= this.maxQueued) {
+      request.onRefuse({code: 'DD3011', retryAfterMs: RETRY_AFTER_MS});
+      return () => {};
+    }
+    this.queue.push(request);
+    return () => {
+      this.queue = this.queue.filter(other => other !== request);
+    };
+  }
+
+  setSlots(slots: number): void {
+    this.slots = slots;
+    this.startWaiting();
+  }
+
+  getQueued(): number {
+    return this.queue.length;
+  }
+
+  getRunning(): number {
+    return this.running;
+  }
+
+  refuseAll(code: MessageCode): void {
+    const refused = this.queue;
+    this.queue = [];
+    for (const request of refused)
+      request.onRefuse({code, retryAfterMs: RETRY_AFTER_MS});
+  }
+
+  private startRequest(request: SlotRequest): void {
+    this.running += 1;
+    let isFinished = false;
+    request.onRun(() => {
+      if (isFinished) return;
+      isFinished = true;
+      this.running -= 1;
+      this.startWaiting();
+    });
+  }
+
+  private startWaiting(): void {
+    while (this.running < this.slots) {
+      const next = this.queue.shift();
+      if (next === undefined) return;
+      const nowMs = this.system.getNow().monotonicMs;
+      if (next.deadlineAtMs <= nowMs) {
+        next.onRefuse({code: 'DD3006', retryAfterMs: RETRY_AFTER_MS});
+      } else {
+        this.startRequest(next);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/manifest/src/check.ts
@@ -0,0 +1,104 @@
+/**
+ * Checks JSON files against a schema and reports every fault at once, each with its JSON path, what
+ * was found and what is allowed.
+ */
+import * as E from 'fp-ts/lib/Either.js';
+import type {z} from 'zod';
+
+import {getErrorText} from '@dottereldrift/core/errors.js';
+import {formatMessage} from '@dottereldrift/core/messages.js';
+
+import type {Fault, Manifest} from './types.js';
+import {manifestSchema} from './schema.js';
+
+const MAX_SHOWN_VALUE_LENGTH = 60;
+
+/** Checks a parsed JSON value against a schema. */
+export function checkValue<T>(
+  schema: z.ZodType<T>,
+  value: unknown,
+): E.Either<readonly Fault[], T> {
+  const result = schema.safeParse(value);
+  if (result.success) return E.right(result.data);
+  return E.left(
+    result.error.issues.flatMap(issue => createFaults(issue, value)),
+  );
+}
+
+/** Parses a JSON text and checks it against a schema. */
+export function checkText<T>(
+  schema: z.ZodType<T>,
+  text: string,
+  sourceName: string,
+): E.Either<readonly Fault[], T> {
+  try {
+    return checkValue(schema, JSON.parse(text));
+  } catch (error) {
+    const reason = formatMessage('DD1002', {
+      path: sourceName,
+      reason: getErrorText(error),
+    });
+    return E.left([{path: '$', reason}]);
+  }
+}
+
+/** Parses and checks the text of a manifest. */
+export function checkManifest(
+  text: string,
+): E.Either<readonly Fault[], Manifest> {
+  return checkText(manifestSchema, text, 'manifest');
+}
+
+/** Returns a fault as one line. */
+export function formatFault(fault: Fault): string {
+  return formatMessage('DD1003', {
+    at: fault.path,
+    reason: fault.reason.replace(/\.$/, ''),
+  });
+}
+
+function createFaults(
+  issue: z.core.$ZodIssue,
+  root: unknown,
+): readonly Fault[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => ({
+      path: formatPath([...issue.path, key]),
+      reason: 'unknown field; remove it or correct its name',
+    }));
+  }
+  const found = formatValue(getValueAt(root, issue.path));
+  return [
+    {
+      path: formatPath(issue.path),
+      reason: `found ${found}; ${formatAllowed(issue.message)}`,
+    },
+  ];
+}
+
+function formatAllowed(message: string): string {
+  return message.charAt(0).toLowerCase() + message.slice(1);
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.reduce<string>(
+    (text, part) =>
+      typeof part === 'number' ? `${text}[${part}]` : `${text}.${String(part)}`,
+    '$',
+  );
+}
+
+function getValueAt(root: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>((value, part) => {
+    if (typeof value !== 'object' || value === null) return undefined;
+    return (value as Record<PropertyKey, unknown>)[part];
+  }, root);
+}
+
+function formatValue(value: unknown): string {
+  if (value === undefined) return 'nothing';
+  const text = JSON.stringify(value);
+  return text.length > MAX_SHOWN_VALUE_LENGTH
+    ? `${text.slice(0, MAX_SHOWN_VALUE_LENGTH)}...`
+    : text;
+}
--- /dev/null
+++ b/packages/manifest/test/check.test.ts
@@ -0,0 +1,32 @@
+/**
+ * Tests of the manifest's checks.
+ */
+import test from 'ava';
+import * as E from 'fp-ts/lib/Either.js';
+
+import {checkManifest, formatFault} from '../src/check.js';
+
+const KIND = {name: 'read', idempotent: true, deadlineMs: 500};
+
+function createText(service: object): string {
+  return JSON.stringify({services: {menu: service}});
+}
+
+test('a manifest with defaults is accepted', t => {
+  t.snapshot(checkManifest(createText({division: 'byKey', kinds: [KIND]})));
+});
+
+test('all faults are reported at once', t => {
+  const checked = checkManifest(
+    createText({
+      division: 'byHand',
+      slots: 3,
+      kinds: [{...KIND, deadlineMs: 0, priority: '7'}, KIND, KIND],
+    }),
+  );
+  t.snapshot(E.isLeft(checked) ? checked.left.map(formatFault) : checked);
+});
+
+test('a text that is not JSON is refused', t => {
+  t.true(E.isLeft(checkManifest('{"services":')));
+});
--- /dev/null
+++ b/packages/membership/test/lease_holder.test.ts
@@ -0,0 +1,66 @@
+/**
+ * Tests of the holder's side of a lease.
+ */
+import test from 'ava';
+
+import {DRIFT_MARGIN_MS, LEASE_DURATION_MS} from '../src/constants.js';
+import {
+  applyAnswer,
+  createLeaseState,
+  finishSetChange,
+  isFencedForGood,
+  isLeaseHeld,
+  type LeaseState,
+  startSetChange,
+} from '../src/lease_holder.js';
+
+const SELF = {host: 'h0', incarnation: 'a'};
+const WITNESSES = ['h1', 'h2', 'h3'].map(host => ({host, incarnation: 'a'}));
+const [FIRST, SECOND, THIRD] = WITNESSES as [
+  typeof SELF,
+  typeof SELF,
+  typeof SELF,
+];
+
+function createInstant(ms: number) {
+  return {monotonicMs: ms, wallMs: 1_000_000 + ms};
+}
+
+function createHeldState(): LeaseState {
+  const state = createLeaseState(SELF, WITNESSES);
+  const once = applyAnswer(state, FIRST, createInstant(0), false);
+  return applyAnswer(once, SECOND, createInstant(0), false);
+}
+
+test('a lease needs a majority of the witnesses', t => {
+  const state = createLeaseState(SELF, WITNESSES);
+  const once = applyAnswer(state, FIRST, createInstant(0), false);
+  t.false(isLeaseHeld(once, createInstant(1)));
+  t.true(isLeaseHeld(createHeldState(), createInstant(1)));
+});
+
+test('a lease ends the drift margin before its duration, by either clock', t => {
+  const usableMs = LEASE_DURATION_MS - DRIFT_MARGIN_MS;
+  const state = createHeldState();
+  t.true(isLeaseHeld(state, createInstant(usableMs - 1)));
+  t.false(isLeaseHeld(state, createInstant(usableMs)));
+  const suspended = {monotonicMs: 1, wallMs: 1_000_000 + usableMs};
+  t.false(isLeaseHeld(state, suspended));
+});
+
+test('two witness sets both need a majority', t => {
+  const next = [{host: 'h4', incarnation: 'a'}];
+  const changing = startSetChange(createHeldState(), next);
+  t.false(isLeaseHeld(changing, createInstant(1)));
+  t.true(isLeaseHeld(finishSetChange(changing, WITNESSES), createInstant(1)));
+});
+
+test('a member fenced by a majority never holds its lease again', t => {
+  const once = applyAnswer(createHeldState(), FIRST, createInstant(0), true);
+  t.false(isFencedForGood(once));
+  t.false(isLeaseHeld(once, createInstant(1)));
+  const twice = applyAnswer(once, THIRD, createInstant(0), true);
+  t.true(isFencedForGood(twice));
+  const late = applyAnswer(twice, THIRD, createInstant(5), false);
+  t.false(isLeaseHeld(late, createInstant(6)));
+});
--- /dev/null
+++ b/packages/ownership/src/assignment_record.ts
@@ -0,0 +1,77 @@
+/**
+ * Conversion between assignments and the records that the store keeps of them.
+ */
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+
+import {formatMember} from '@dottereldrift/core/member.js';
+import type {Member} from '@dottereldrift/core/types.js';
+import {
+  AssignmentRecordSchema,
+  MemberSchema,
+} from '@dottereldrift/rpc/gen/dottereldrift/v1/records_pb.js';
+
+import type {Assignment, Slice} from './types.js';
+
+/** Prefix of the keys of assignments in the store. */
+export const ASSIGNMENT_PREFIX = 'assignments/';
+
+/** Returns the key of a service's assignment in the store. */
+export function getAssignmentKey(service: string): string {
+  return `${ASSIGNMENT_PREFIX}${service}`;
+}
+
+/** Returns the bytes that the store keeps of an assignment. */
+export function encodeAssignment(assignment: Assignment): Uint8Array {
+  const owners = new OwnerTable();
+  const {slices} = assignment;
+  const record = create(AssignmentRecordSchema, {
+    service: assignment.service,
+    generation: BigInt(assignment.generation),
+    starts: slices.map(slice => slice.start),
+    ownerNumbers: slices.map(slice => owners.addOwner(slice.owner)),
+    tokens: slices.map(slice => BigInt(slice.token)),
+    nextOwnerNumbers: slices.map(slice => owners.addOwner(slice.nextOwner)),
+    handedOver: slices.map(slice => slice.isHandedOver),
+    owners: owners.members.map(member => create(MemberSchema, member)),
+    writer: create(MemberSchema, assignment.writer),
+  });
+  return toBinary(AssignmentRecordSchema, record);
+}
+
+/** Parses the bytes that the store keeps of an assignment. */
+export function parseAssignment(bytes: Uint8Array): Assignment {
+  const record = fromBinary(AssignmentRecordSchema, bytes);
+  const owners = record.owners.map(({host, incarnation}) => ({
+    host,
+    incarnation,
+  }));
+  const slices = record.starts.map((start, index): Slice => ({
+    start,
+    owner: owners[(record.ownerNumbers[index] ?? 0) - 1],
+    token: Number(record.tokens[index] ?? 0n),
+    nextOwner: owners[(record.nextOwnerNumbers[index] ?? 0) - 1],
+    isHandedOver: record.handedOver[index] ?? false,
+  }));
+  const {service} = record;
+  const writer = {
+    host: record.writer?.host ?? '',
+    incarnation: record.writer?.incarnation ?? '',
+  };
+  return {service, generation: Number(record.generation), slices, writer};
+}
+
+/** Numbers members from 1 in the order in which they appear; 0 stands for none. */
+class OwnerTable {
+  readonly members: Member[] = [];
+  private readonly numbers = new Map<string, number>();
+
+  addOwner(member: Member | undefined): number {
+    if (member === undefined) return 0;
+    const name = formatMember(member);
+    const present = this.numbers.get(name);
+    if (present !== undefined) return present;
+    this.members.push(member);
+    this.numbers.set(name, this.members.length);
+    return this.members.length;
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/slice_gate.ts
@@ -0,0 +1,93 @@
+/**
+ * The owner's admission to the slices of one service: which of them this member may run requests of,
+ * and which it has released for a move.
+ */
+import {isSameMember} from '@dottereldrift/core/member.js';
+import type {Member} from '@dottereldrift/core/types.js';
+
+import {findSlice} from './slices.js';
+import type {Assignment, Slice, SliceRef} from './types.js';
+
+/** Answer of the gate for one position. */
+export type GateAnswer =
+  | {readonly kind: 'owned'; readonly slice: Slice}
+  | {readonly kind: 'moving'; readonly slice: Slice}
+  | {readonly kind: 'not-owned'; readonly generation: number};
+
+/** Tracks what this member may run of one service. */
+export class SliceGate {
+  private assignment: Assignment | undefined;
+  /** For a slice's start, the highest token under which it was released. */
+  private readonly releasedTokens = new Map<number, number>();
+  /** Requests running, by the position of their slice's start when they were admitted. */
+  private readonly running = new Map<number, number>();
+
+  constructor(private readonly member: Member) {}
+
+  /** Takes over an assignment unless a higher generation is known. */
+  applyAssignment(assignment: Assignment): void {
+    const present = this.assignment?.generation ?? 0;
+    if (assignment.generation <= present) return;
+    this.assignment = assignment;
+    this.dropOldReleases(assignment);
+  }
+
+  /** Returns the assignment in force here. */
+  getAssignment(): Assignment | undefined {
+    return this.assignment;
+  }
+
+  /** Tells whether a request at a position may be run here. */
+  checkPosition(position: number): GateAnswer {
+    const slice = findSlice(this.assignment?.slices ?? [], position);
+    if (slice?.owner === undefined || !isSameMember(slice.owner, this.member)) {
+      return {kind: 'not-owned', generation: this.assignment?.generation ?? 0};
+    }
+    return this.isReleased(slice)
+      ? {kind: 'moving', slice}
+      : {kind: 'owned', slice};
+  }
+
+  /** Counts a request that was admitted to a position; the returned function ends it. */
+  startRequest(position: number): () => void {
+    this.running.set(position, (this.running.get(position) ?? 0) + 1);
+    let isOver = false;
+    return () => {
+      if (isOver) return;
+      isOver = true;
+      const left = (this.running.get(position) ?? 1) - 1;
+      if (left === 0) this.running.delete(position);
+      else this.running.set(position, left);
+    };
+  }
+
+  /** Stops admission to slices for good under their tokens. Returns those on which nothing runs. */
+  releaseSlices(refs: readonly SliceRef[]): readonly SliceRef[] {
+    for (const ref of refs) {
+      const released = this.releasedTokens.get(ref.start) ?? 0;
+      this.releasedTokens.set(ref.start, Math.max(released, ref.token));
+    }
+    return refs.filter(ref => !this.isBusy(ref));
+  }
+
+  private isReleased(slice: Slice): boolean {
+    return (this.releasedTokens.get(slice.start) ?? 0) >= slice.token;
+  }
+
+  private isBusy(ref: SliceRef): boolean {
+    const slices = this.assignment?.slices ?? [];
+    for (const position of this.running.keys()) {
+      if (findSlice(slices, position)?.start === ref.start) return true;
+    }
+    return false;
+  }
+
+  private dropOldReleases(assignment: Assignment): void {
+    for (const [start, token] of this.releasedTokens) {
+      const slice = findSlice(assignment.slices, start);
+      if (slice !== undefined && slice.start === start && slice.token > token) {
+        this.releasedTokens.delete(start);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/types.ts
@@ -0,0 +1,40 @@
+/**
+ * Shapes of ownership: slices of the ring and who owns them.
+ */
+import type {Member, ServiceName, Token} from '@dottereldrift/core/types.js';
+
+/** A stretch of the ring from its start to the start of the next slice. */
+export interface Slice {
+  /** First position of the slice. */
+  readonly start: number;
+  readonly owner: Member | undefined;
+  /** Generation of the write that gave the slice to its owner. */
+  readonly token: Token;
+  /** Member that a planned move gives the slice to. */
+  readonly nextOwner: Member | undefined;
+  /** True when the previous owner handed its records over. */
+  readonly isHandedOver: boolean;
+}
+
+/** Who owns the keys of one service. */
+export interface Assignment {
+  readonly service: ServiceName;
+  /** Grows by one with every write. */
+  readonly generation: number;
+  /** Slices in the order of their starts; the first starts at 0. */
+  readonly slices: readonly Slice[];
+  /** Member that wrote this generation. */
+  readonly writer: Member;
+}
+
+/** An assignment with the version of its object. */
+export interface VersionedAssignment {
+  readonly assignment: Assignment;
+  readonly version: number;
+}
+
+/** A slice under one token. */
+export interface SliceRef {
+  readonly start: number;
+  readonly token: Token;
+}
--- /dev/null
+++ b/packages/store/src/memory_store.ts
@@ -0,0 +1,189 @@
+/**
+ * The embedded object store: all objects in the memory of one process, with versions, conditional
+ * updates and watches. The stand-in of the platform's store serves it over HTTP.
+ */
+import * as E from 'fp-ts/lib/Either.js';
+import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
+
+import {formatMessage} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+
+import type {
+  ListAnswer,
+  ObjectChange,
+  ObjectStore,
+  ObjectVersion,
+  StoreFailure,
+  StoredObject,
+  WatchAnswer,
+} from './types.js';
+
+/** Largest value that an object holds. */
+export const MAX_VALUE_BYTES = 1_000_000;
+
+const MAX_KEPT_CHANGES = 10_000;
+
+interface Waiter {
+  readonly prefix: string;
+  readonly wake: () => void;
+}
+
+/** Object store in memory. */
+export class MemoryStore implements ObjectStore {
+  private readonly objects = new Map<string, StoredObject>();
+  private readonly changes: ObjectChange[] = [];
+  private firstKeptRevision = 0;
+  private revision = 0;
+  private readonly waiters = new Set<Waiter>();
+
+  constructor(private readonly system: System) {}
+
+  getObject(key: string): TaskEither<StoreFailure, StoredObject | undefined> {
+    return () => Promise.resolve(E.right(this.objects.get(key)));
+  }
+
+  listObjects(prefix: string): TaskEither<StoreFailure, ListAnswer> {
+    return () => {
+      const objects = [...this.objects.values()].filter(object =>
+        object.key.startsWith(prefix),
+      );
+      return Promise.resolve(E.right({revision: this.revision, objects}));
+    };
+  }
+
+  updateObject(
+    key: string,
+    expectedVersion: ObjectVersion,
+    value: Uint8Array,
+  ): TaskEither<StoreFailure, ObjectVersion> {
+    return () => Promise.resolve(this.tryUpdate(key, expectedVersion, value));
+  }
+
+  deleteObject(
+    key: string,
+    expectedVersion: ObjectVersion,
+  ): TaskEither<StoreFailure, ObjectVersion> {
+    return () => Promise.resolve(this.tryDelete(key, expectedVersion));
+  }
+
+  watchObjects(
+    prefix: string,
+    afterRevision: ObjectVersion,
+    waitMs: number,
+  ): TaskEither<StoreFailure, WatchAnswer> {
+    return async () => {
+      if (!this.hasChangesAfter(prefix, afterRevision))
+        await this.waitForChange(prefix, waitMs);
+      return E.right(this.getChanges(prefix, afterRevision));
+    };
+  }
+
+  private tryUpdate(
+    key: string,
+    expectedVersion: ObjectVersion,
+    value: Uint8Array,
+  ): E.Either<StoreFailure, ObjectVersion> {
+    if (value.byteLength > MAX_VALUE_BYTES) {
+      const reason = `the value has ${value.byteLength} bytes, at most ${MAX_VALUE_BYTES} are allowed`;
+      return E.left({kind: 'refused', text: formatMessage('DD2004', {reason})});
+    }
+    const found = this.objects.get(key)?.version ?? 0;
+    if (found !== expectedVersion)
+      return E.left(createConflict(expectedVersion, found));
+    const version = this.recordChange(key, false);
+    this.objects.set(key, {key, version, value});
+    this.wakeWaiters(key);
+    return E.right(version);
+  }
+
+  private tryDelete(
+    key: string,
+    expectedVersion: ObjectVersion,
+  ): E.Either<StoreFailure, ObjectVersion> {
+    const found = this.objects.get(key)?.version ?? 0;
+    if (found !== expectedVersion || found === 0) {
+      return E.left(createConflict(expectedVersion, found));
+    }
+    const version = this.recordChange(key, true);
+    this.objects.delete(key);
+    this.wakeWaiters(key);
+    return E.right(version);
+  }
+
+  private recordChange(key: string, isDeleted: boolean): ObjectVersion {
+    this.revision += 1;
+    this.changes.push({key, version: this.revision, isDeleted});
+    if (this.changes.length > MAX_KEPT_CHANGES) {
+      const dropped = this.changes.splice(0, MAX_KEPT_CHANGES / 2);
+      this.firstKeptRevision = dropped[dropped.length - 1]?.version ?? 0;
+    }
+    return this.revision;
+  }
+
+  private wakeWaiters(key: string): void {
+    for (const waiter of this.waiters) {
+      if (key.startsWith(waiter.prefix)) waiter.wake();
+    }
+  }
+
+  private hasChangesAfter(
+    prefix: string,
+    afterRevision: ObjectVersion,
+  ): boolean {
+    if (afterRevision < this.firstKeptRevision || afterRevision > this.revision)
+      return true;
+    for (let index = this.changes.length - 1; index >= 0; index--) {
+      const change = this.changes[index];
+      if (change === undefined || change.version <= afterRevision) return false;
+      if (change.key.startsWith(prefix)) return true;
+    }
+    return false;
+  }
+
+  private waitForChange(prefix: string, waitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        cancel();
+        this.waiters.delete(waiter);
+        resolve();
+      };
+      const waiter: Waiter = {prefix, wake: finish};
+      const cancel = this.system.startTimer(waitMs, finish);
+      this.waiters.add(waiter);
+    });
+  }
+
+  private getChanges(
+    prefix: string,
+    afterRevision: ObjectVersion,
+  ): WatchAnswer {
+    if (
+      afterRevision < this.firstKeptRevision ||
+      afterRevision > this.revision
+    ) {
+      return {revision: this.revision, changes: [], isReset: true};
+    }
+    const latest = new Map<string, ObjectChange>();
+    for (const change of this.changes) {
+      if (change.version > afterRevision && change.key.startsWith(prefix)) {
+        latest.set(change.key, change);
+      }
+    }
+    return {
+      revision: this.revision,
+      changes: [...latest.values()],
+      isReset: false,
+    };
+  }
+}
+
+function createConflict(
+  expected: ObjectVersion,
+  found: ObjectVersion,
+): StoreFailure {
+  return {
+    kind: 'conflict',
+    text: formatMessage('DD2003', {expected, found}),
+    foundVersion: found,
+  };
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,13 @@
+/** Bundles the command line into one CommonJS file, dist/dottereldrift.cjs. */
+import {build} from 'esbuild';
+
+await build({
+  entryPoints: ['packages/cli/dist/src/main.js'],
+  outfile: 'dist/dottereldrift.cjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  external: ['unix-dgram'],
+  logLevel: 'warning',
+});
