Name the token since which an owner's records are complete

Cause: a flag "records were handed over" forgets an earlier loss: a slice that was taken over and later moved by plan would have run a repeat that the lost owner may have run already.

Ruled out: keeping the flag and a list of past losses; one token per slice says the same in eight bytes.

After: a slice carries `recordsSince`; a planned move keeps it, a takeover sets it. Test fleets take their IP numbers from the process id, so that two run side by side.

--- a/packages/bench/src/demo_main.ts
+++ b/packages/bench/src/demo_main.ts
@@ -43,11 +43,9 @@
     return;
   }
   const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-demo-'));
-  const network = `${(process.pid % 200) + 20}.1`;
   const fleet = new Fleet({
     deployment,
     directory,
-    network,
     stragglerShare: 0.01,
   });
   try {
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -37,8 +37,6 @@
   readonly deployment: Deployment;
   /** Directory for settings and records. */
   readonly directory: string;
-  /** Second and third number of the hosts' IP numbers, so that fleets run side by side. */
-  readonly network: string;
   readonly stragglerShare: number;
 }
 
@@ -49,6 +47,8 @@
 const BACKEND_PORT = 7110;
 const READY_TIMEOUT_MS = 60_000;
 const POLL_INTERVAL_MS = 50;
+const FIRST_NETWORK = 20;
+const NETWORKS = 200;
 const LAST_WORDS_LENGTH = 1_000;
 
 /** Key by which the daemons of a test fleet know each other. */
@@ -261,8 +261,19 @@
   }
 }
 
+/**
+ * Returns the second and third number of the hosts' IP numbers, so that the fleets of two processes
+ * run side by side.
+ */
+function createNetwork(): string {
+  const second = FIRST_NETWORK + (process.pid % NETWORKS);
+  const third = 1 + (Math.floor(process.pid / NETWORKS) % NETWORKS);
+  return `${second}.${third}`;
+}
+
 function createHosts(options: FleetOptions): readonly FleetHost[] {
-  const {deployment, directory, network} = options;
+  const {deployment, directory} = options;
+  const network = createNetwork();
   const names = deployment.services.flatMap(plan =>
     Array.from({length: plan.servers}, (_, index) => ({
       plan,
--- a/packages/bench/test/whole_path.process.test.ts
+++ b/packages/bench/test/whole_path.process.test.ts
@@ -26,7 +26,6 @@
   const fleet = new Fleet({
     deployment,
     directory,
-    network: '31.1',
     stragglerShare: 0,
   });
   try {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -307,17 +307,16 @@
 }
 
 /**
- * Tells whether a request that this owner has no record of may have run under an earlier one. After
- * a planned move the records came along. After a loss only a request that was first routed under the
- * present token is certain to be new.
+ * Tells whether a request that this owner has no record of may have run under an earlier one: it was
+ * first routed before the records that this owner has begin.
  */
 function mayHaveRunBefore(
   exchange: Exchange,
   slice: Slice | undefined,
 ): boolean {
-  if (slice === undefined || slice.isHandedOver) return false;
+  if (slice === undefined) return false;
   const {firstGeneration} = exchange;
-  return firstGeneration !== undefined && firstGeneration < slice.token;
+  return firstGeneration !== undefined && firstGeneration < slice.recordsSince;
 }
 
 function answerRepeat(exchange: Exchange, state: EntryState): AttemptResult {
--- a/packages/ownership/src/assignment_record.ts
+++ b/packages/ownership/src/assignment_record.ts
@@ -31,7 +31,7 @@
     ownerNumbers: slices.map(slice => owners.addOwner(slice.owner)),
     tokens: slices.map(slice => BigInt(slice.token)),
     nextOwnerNumbers: slices.map(slice => owners.addOwner(slice.nextOwner)),
-    handedOver: slices.map(slice => slice.isHandedOver),
+    recordsSince: slices.map(slice => BigInt(slice.recordsSince)),
     owners: owners.members.map(member => create(MemberSchema, member)),
     writer: create(MemberSchema, assignment.writer),
   });
@@ -50,7 +50,7 @@
     owner: owners[(record.ownerNumbers[index] ?? 0) - 1],
     token: Number(record.tokens[index] ?? 0n),
     nextOwner: owners[(record.nextOwnerNumbers[index] ?? 0) - 1],
-    isHandedOver: record.handedOver[index] ?? false,
+    recordsSince: Number(record.recordsSince[index] ?? 0n),
   }));
   const {service} = record;
   const writer = {
--- a/packages/ownership/src/placement.ts
+++ b/packages/ownership/src/placement.ts
@@ -53,13 +53,14 @@
   generation: number,
 ): Slice {
   const isLost = slice.owner !== undefined && input.isEnded(slice.owner);
-  if (isLost)
+  if (isLost) {
     return {
       ...slice,
       owner: undefined,
       nextOwner: undefined,
-      isHandedOver: false,
+      recordsSince: generation,
     };
+  }
   if (slice.nextOwner === undefined) return slice;
   const isReleased = input.released.some(
     ref => ref.start === slice.start && ref.token === slice.token,
@@ -71,7 +72,6 @@
       owner: slice.nextOwner,
       token: generation,
       nextOwner: undefined,
-      isHandedOver: true,
     };
   }
   if (!isTargetGone) return slice;
@@ -80,7 +80,6 @@
     ...slice,
     token: generation,
     nextOwner: undefined,
-    isHandedOver: true,
   };
 }
 
@@ -100,7 +99,6 @@
       owner,
       token: generation,
       nextOwner: undefined,
-      isHandedOver: false,
     };
   });
 }
--- a/packages/ownership/src/slices.ts
+++ b/packages/ownership/src/slices.ts
@@ -15,7 +15,7 @@
     owner: undefined,
     token: 0,
     nextOwner: undefined,
-    isHandedOver: false,
+    recordsSince: 0,
   }));
 }
 
--- a/packages/ownership/src/types.ts
+++ b/packages/ownership/src/types.ts
@@ -12,8 +12,11 @@
   readonly token: Token;
   /** Member that a planned move gives the slice to. */
   readonly nextOwner: Member | undefined;
-  /** True when the previous owner handed its records over. */
-  readonly isHandedOver: boolean;
+  /**
+   * Token since which the owner's records of idempotency keys are complete. A planned move keeps it,
+   * for the records come along; a takeover sets it to its own token; 0 means from the start.
+   */
+  readonly recordsSince: Token;
 }
 
 /** Who owns the keys of one service. */
