--- /dev/null
+++ b/packages/limits/src/adaptive_options.ts
@@ -0,0 +1,53 @@
+/**
+ * The parts of the adaptive policy, each of which can be left out, so that a benchmark measures it
+ * alone.
+ */
+
+/** Which parts are in use, and the bounds of the queue. */
+export interface AdaptiveOptions {
+  readonly maxQueued: number;
+  readonly maxQueuedBytes: number;
+  /** Refuses at once what cannot finish before its deadline. */
+  readonly isDeadlineChecked: boolean;
+  /** Share of the slots that long work may not take; 0 for none. */
+  readonly reservedShare: number;
+  /** Divides slot time by priority when requests wait. */
+  readonly isWeighted: boolean;
+  /** Longest wait that a new request may expect, in multiples of its typical service time; 0 for any. */
+  readonly waitMultiple: number;
+  /** Longest time that a request waits, in multiples of its typical service time; 0 for any. */
+  readonly dropMultiple: number;
+  /** Serves the newest request first. */
+  readonly isNewestFirst: boolean;
+  /** Gives callers turns. */
+  readonly isFair: boolean;
+  /** Time in which a new server's slots grow from one to all; 0 for at once. */
+  readonly slowStartMs: number;
+}
+
+const MEBIBYTE = 1_024 * 1_024;
+
+/** A bounded queue in the order of arrival, and nothing else. */
+export const PLAIN_OPTIONS: AdaptiveOptions = {
+  maxQueued: 256,
+  maxQueuedBytes: 16 * MEBIBYTE,
+  isDeadlineChecked: false,
+  reservedShare: 0,
+  isWeighted: false,
+  waitMultiple: 0,
+  dropMultiple: 0,
+  isNewestFirst: false,
+  isFair: false,
+  slowStartMs: 0,
+};
+
+/** The parts that daemons use. */
+export const ADAPTIVE_OPTIONS: AdaptiveOptions = {
+  ...PLAIN_OPTIONS,
+  isDeadlineChecked: true,
+  reservedShare: 0.34,
+  isWeighted: true,
+  waitMultiple: 2,
+  dropMultiple: 3,
+  isFair: true,
+};
--- /dev/null
+++ b/packages/limits/src/adaptive_policy.ts
@@ -0,0 +1,356 @@
+/**
+ * Admission to the slots of one backend server. It rests on what it measures itself: the service time
+ * of each kind, how long running requests have already run, and how long a queue has stood.
+ */
+import type {MessageCode} from '@dottereldrift/core/messages.js';
+import type {System} from '@dottereldrift/core/system.js';
+
+import type {AdaptiveOptions} from './adaptive_options.js';
+import {ArrivalOrder, type KindOrder, WeightedOrder} from './kind_order.js';
+import {
+  createKindState,
+  type KindState,
+  type RunningRequest,
+} from './kind_state.js';
+import {getLongSlots, isLongKind, isOverdue} from './slot_classes.js';
+import type {SlotPolicy, SlotRequest} from './types.js';
+import {WaitEstimator} from './wait_estimator.js';
+import type {ServingOrder, Waiting} from './waiting_list.js';
+
+const SWEEP_INTERVAL_MS = 20;
+/** Waits that are shorter are never refused for their length. */
+const MIN_BOUND_MS = 5;
+const MIN_RETRY_AFTER_MS = 20;
+const MAX_RETRY_AFTER_MS = 1_000;
+
+/** Slots given by service time, deadline, priority and caller. */
+export class AdaptivePolicy implements SlotPolicy {
+  private readonly kinds = new Map<string, KindState>();
+  private readonly waitingKinds = new Set<KindState>();
+  private readonly running = new Set<RunningRequest>();
+  private readonly order: KindOrder;
+  private readonly estimator: WaitEstimator;
+  private readonly createdAtMs: number;
+  private readonly servingOrder: ServingOrder;
+  private queued = 0;
+  private queuedBytes = 0;
+  private arrivals = 0;
+  private isStarting = false;
+  private isSweeping = false;
+
+  constructor(
+    private readonly system: System,
+    private slots: number,
+    private readonly options: AdaptiveOptions,
+  ) {
+    this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
+    this.estimator = new WaitEstimator(this.order);
+    this.servingOrder = options.isNewestFirst ? 'newest' : 'oldest';
+    this.createdAtMs = system.getNow().monotonicMs;
+  }
+
+  requestSlot(request: SlotRequest): () => void {
+    const nowMs = this.system.getNow().monotonicMs;
+    const kind = this.getKind(request);
+    if (request.deadlineAtMs <= nowMs) {
+      request.onRefuse({code: 'DD3006', retryAfterMs: MIN_RETRY_AFTER_MS});
+      return () => {};
+    }
+    if (this.queued === 0 && this.mayStart(kind, nowMs)) {
+      this.startRequest(request, kind, nowMs);
+      return () => {};
+    }
+    return this.addOrRefuse(request, kind, nowMs);
+  }
+
+  setSlots(slots: number): void {
+    this.slots = slots;
+    this.startWaiting();
+  }
+
+  getQueued(): number {
+    return this.queued;
+  }
+
+  getRunning(): number {
+    return this.running.size;
+  }
+
+  /** Bytes of the requests that wait. */
+  getQueuedBytes(): number {
+    return this.queuedBytes;
+  }
+
+  refuseAll(code: MessageCode): void {
+    const refused = this.removeWhere(() => true);
+    this.refuseEach(refused, code);
+  }
+
+  private addOrRefuse(
+    request: SlotRequest,
+    kind: KindState,
+    nowMs: number,
+  ): () => void {
+    const waitMs = this.computeWaitMs(kind, request.caller, nowMs);
+    const code =
+      this.findTimeRefusal(request, kind, waitMs, nowMs) ??
+      this.findSpaceRefusal(request);
+    if (code !== undefined) {
+      request.onRefuse({code, retryAfterMs: getRetryAfterMs(waitMs)});
+      return () => {};
+    }
+    const remove = this.addWaiting(request, kind, nowMs);
+    this.startWaiting();
+    return remove;
+  }
+
+  private findTimeRefusal(
+    request: SlotRequest,
+    kind: KindState,
+    waitMs: number,
+    nowMs: number,
+  ): MessageCode | undefined {
+    const {isDeadlineChecked} = this.options;
+    const isFirst = kind.running === 0 && kind.waiting.getSize() === 0;
+    if (isFirst) return undefined;
+    const finishAtMs = nowMs + waitMs + kind.estimate.getTypicalMs();
+    if (isDeadlineChecked && finishAtMs > request.deadlineAtMs) return 'DD3012';
+    if (waitMs > getBoundMs(kind, this.options.waitMultiple)) return 'DD3011';
+    return undefined;
+  }
+
+  /** Makes room by dropping requests of lower priority, the newest first. */
+  private findSpaceRefusal(request: SlotRequest): MessageCode | undefined {
+    const {maxQueued, maxQueuedBytes} = this.options;
+    if (request.bytes > maxQueuedBytes) return 'DD3011';
+    for (;;) {
+      const hasRoom =
+        this.queued < maxQueued &&
+        this.queuedBytes + request.bytes <= maxQueuedBytes;
+      if (hasRoom) return undefined;
+      const victim = this.takeVictim(request.priority);
+      if (victim === undefined) return 'DD3011';
+      this.refuseEach([victim], 'DD3025');
+    }
+  }
+
+  private takeVictim(priority: number): Waiting | undefined {
+    if (!this.options.isWeighted) return undefined;
+    let lowest: KindState | undefined;
+    for (const kind of this.waitingKinds) {
+      if (lowest === undefined || kind.priority < lowest.priority)
+        lowest = kind;
+    }
+    if (lowest === undefined || lowest.priority >= priority) return undefined;
+    return this.takeWaiting(lowest, 'newest');
+  }
+
+  private addWaiting(
+    request: SlotRequest,
+    kind: KindState,
+    nowMs: number,
+  ): () => void {
+    if (kind.waiting.getSize() === 0) {
+      this.waitingKinds.add(kind);
+      this.order.addKind(kind);
+    }
+    this.arrivals += 1;
+    const number = this.arrivals;
+    const remove = kind.waiting.add({request, arrivedAtMs: nowMs, number});
+    this.queued += 1;
+    this.queuedBytes += request.bytes;
+    this.startSweep();
+    return () => {
+      if (remove()) this.recordRemoval(kind, request);
+    };
+  }
+
+  private takeWaiting(
+    kind: KindState,
+    order: ServingOrder,
+  ): Waiting | undefined {
+    const waiting = kind.waiting.take(order);
+    if (waiting !== undefined) this.recordRemoval(kind, waiting.request);
+    return waiting;
+  }
+
+  private recordRemoval(kind: KindState, request: SlotRequest): void {
+    this.queued -= 1;
+    this.queuedBytes -= request.bytes;
+    if (kind.waiting.getSize() === 0) this.waitingKinds.delete(kind);
+  }
+
+  private startRequest(
+    request: SlotRequest,
+    kind: KindState,
+    nowMs: number,
+  ): void {
+    const running: RunningRequest = {kind, startedAtMs: nowMs};
+    this.running.add(running);
+    kind.running += 1;
+    this.order.recordStart(kind);
+    request.onRun(isServed => {
+      this.finishRequest(running, isServed);
+    });
+  }
+
+  private finishRequest(running: RunningRequest, isServed: boolean): void {
+    if (!this.running.delete(running)) return;
+    const {kind, startedAtMs} = running;
+    kind.running -= 1;
+    if (isServed)
+      kind.estimate.observe(this.system.getNow().monotonicMs - startedAtMs);
+    this.startWaiting();
+  }
+
+  /** Gives free slots to waiting requests. Calls from within callbacks are taken up by the loop. */
+  private startWaiting(): void {
+    if (this.isStarting) return;
+    this.isStarting = true;
+    const nowMs = this.system.getNow().monotonicMs;
+    while (this.queued > 0 && this.running.size < this.getUsableSlots(nowMs)) {
+      const kind = this.chooseKind(nowMs);
+      if (kind === undefined) break;
+      this.startNext(kind, nowMs);
+    }
+    this.isStarting = false;
+  }
+
+  private startNext(kind: KindState, nowMs: number): void {
+    const waiting = this.takeWaiting(kind, this.servingOrder);
+    if (waiting === undefined) return;
+    const code = this.findDropReason(waiting, kind, nowMs);
+    if (code === undefined) this.startRequest(waiting.request, kind, nowMs);
+    else this.refuseEach([waiting], code);
+  }
+
+  private chooseKind(nowMs: number): KindState | undefined {
+    const order = this.servingOrder;
+    if (this.hasLongSlot(nowMs))
+      return this.order.choose(this.waitingKinds, order);
+    const shortestMs = this.getShortestMs();
+    const short = [...this.waitingKinds].filter(
+      kind => !isLongKind(kind, shortestMs),
+    );
+    return this.order.choose(short, order);
+  }
+
+  private mayStart(kind: KindState, nowMs: number): boolean {
+    if (this.running.size >= this.getUsableSlots(nowMs)) return false;
+    if (this.options.reservedShare === 0) return true;
+    return !isLongKind(kind, this.getShortestMs()) || this.hasLongSlot(nowMs);
+  }
+
+  private hasLongSlot(nowMs: number): boolean {
+    const {reservedShare} = this.options;
+    if (reservedShare === 0) return true;
+    const longSlots = getLongSlots(this.slots, reservedShare);
+    if (this.running.size < longSlots) return true;
+    const shortestMs = this.getShortestMs();
+    let long = 0;
+    for (const running of this.running) {
+      if (isLongKind(running.kind, shortestMs) || isOverdue(running, nowMs))
+        long += 1;
+    }
+    return long < longSlots;
+  }
+
+  private getShortestMs(): number {
+    let shortestMs = Infinity;
+    for (const kind of this.kinds.values())
+      shortestMs = Math.min(shortestMs, kind.estimate.getTypicalMs());
+    return shortestMs;
+  }
+
+  private computeWaitMs(
+    kind: KindState,
+    caller: string,
+    nowMs: number,
+  ): number {
+    const {reservedShare} = this.options;
+    const isLong = reservedShare > 0 && isLongKind(kind, this.getShortestMs());
+    const usable = this.getUsableSlots(nowMs);
+    const slots = isLong ? getLongSlots(usable, reservedShare) : usable;
+    return this.estimator.computeWaitMs(
+      {kind, caller, slots, waiting: this.waitingKinds, running: this.running},
+      nowMs,
+    );
+  }
+
+  private findDropReason(
+    {request, arrivedAtMs}: Waiting,
+    kind: KindState,
+    nowMs: number,
+  ): MessageCode | undefined {
+    if (request.deadlineAtMs <= nowMs) return 'DD3006';
+    const boundMs = getBoundMs(kind, this.options.dropMultiple);
+    return nowMs - arrivedAtMs > boundMs ? 'DD3025' : undefined;
+  }
+
+  private getUsableSlots(nowMs: number): number {
+    const {slowStartMs} = this.options;
+    const ageMs = nowMs - this.createdAtMs;
+    if (ageMs >= slowStartMs) return this.slots;
+    return Math.max(1, Math.floor((this.slots * ageMs) / slowStartMs));
+  }
+
+  /** While requests wait, looks now and then for those whose time has passed. */
+  private startSweep(): void {
+    if (this.isSweeping) return;
+    this.isSweeping = true;
+    this.system.startTimer(SWEEP_INTERVAL_MS, () => {
+      this.isSweeping = false;
+      this.refuseOverdue();
+      this.startWaiting();
+      if (this.queued > 0) this.startSweep();
+    });
+  }
+
+  private refuseOverdue(): void {
+    const nowMs = this.system.getNow().monotonicMs;
+    const expired = this.removeWhere(
+      waiting => waiting.request.deadlineAtMs <= nowMs,
+    );
+    const dropped = this.removeWhere(
+      (waiting, kind) => this.findDropReason(waiting, kind, nowMs) === 'DD3025',
+    );
+    this.refuseEach(expired, 'DD3006');
+    this.refuseEach(dropped, 'DD3025');
+  }
+
+  private removeWhere(
+    isUnwanted: (waiting: Waiting, kind: KindState) => boolean,
+  ): readonly Waiting[] {
+    return [...this.waitingKinds].flatMap(kind => {
+      const removed = kind.waiting.visit(waiting => isUnwanted(waiting, kind));
+      for (const {request} of removed) this.recordRemoval(kind, request);
+      return removed;
+    });
+  }
+
+  private refuseEach(refused: readonly Waiting[], code: MessageCode): void {
+    for (const {request} of refused)
+      request.onRefuse({code, retryAfterMs: MIN_RETRY_AFTER_MS});
+  }
+
+  private getKind(request: SlotRequest): KindState {
+    let kind = this.kinds.get(request.kind);
+    if (kind === undefined) {
+      kind = createKindState(request, this.options.isFair);
+      this.kinds.set(request.kind, kind);
+    }
+    kind.priority = request.priority;
+    return kind;
+  }
+}
+
+function getRetryAfterMs(waitMs: number): number {
+  const boundedMs = Math.min(MAX_RETRY_AFTER_MS, waitMs);
+  return Math.max(MIN_RETRY_AFTER_MS, Math.ceil(boundedMs));
+}
+
+/** A multiple of the typical service time; no bound when the multiple is 0. */
+function getBoundMs(kind: KindState, multiple: number): number {
+  if (multiple === 0) return Infinity;
+  return Math.max(MIN_BOUND_MS, multiple * kind.estimate.getTypicalMs());
+}
