Give slots by measured service time unless the settings say fifo

The daemon used first come, first served. limits.slotPolicy chooses between it and the adaptive policy, now the default; limits.queuedBytes bounds the bytes that wait for one server.

Random sequences of requests, withdrawals, answers and changes of the slots run against both policies, with a fixed seed: one callback for each request, slots and bounds kept, bytes counted, nothing left waiting. They found a slot given although there were none, in the slow start.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
   type System,
   waitFor,
 } from '@dottereldrift/core/system.js';
-import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
@@ -307,7 +307,9 @@
   private createPolicy(service: string, slots: number) {
     const maxQueued =
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
-    return new FifoPolicy(this.system, slots, maxQueued);
+    const {slotPolicy, queuedBytes} = this.settings.limits;
+    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
   private observe(exchange: Exchange, result: AttemptResult): void {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -68,6 +68,12 @@
     .min(0)
     .max(MEBIBYTE)
     .default(16 * KIBIBYTE),
+  slotPolicy: z.enum(['adaptive', 'fifo']).default('adaptive'),
+  queuedBytes: z
+    .number()
+    .int()
+    .min(KIBIBYTE)
+    .default(16 * MEBIBYTE),
 });
 
 /** Schema of the settings. */
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -258,7 +258,8 @@
     const {slowStartMs} = this.options;
     const ageMs = nowMs - this.createdAtMs;
     if (ageMs >= slowStartMs) return this.slots;
-    return Math.max(1, Math.floor((this.slots * ageMs) / slowStartMs));
+    const grown = Math.floor((this.slots * ageMs) / slowStartMs);
+    return Math.min(this.slots, Math.max(1, grown));
   }
 
   /** While requests wait, looks now and then for those whose time has passed. */
--- /dev/null
+++ b/packages/limits/src/slot_policies.ts
@@ -0,0 +1,36 @@
+/**
+ * The slot policies that the settings name.
+ */
+import type {System} from '@dottereldrift/core/system.js';
+
+import {ADAPTIVE_OPTIONS} from './adaptive_options.js';
+import {AdaptivePolicy} from './adaptive_policy.js';
+import {FifoPolicy} from './fifo_policy.js';
+import type {SlotPolicy} from './types.js';
+
+/** Name of a slot policy. */
+export type SlotPolicyName = 'adaptive' | 'fifo';
+
+/** Bounds of a queue. */
+export interface QueueBounds {
+  readonly maxQueued: number;
+  readonly maxQueuedBytes: number;
+}
+
+/** Creates the slot policy of one server. */
+export function createSlotPolicy(
+  name: SlotPolicyName,
+  system: System,
+  slots: number,
+  bounds: QueueBounds,
+): SlotPolicy {
+  switch (name) {
+    case 'fifo':
+      return new FifoPolicy(system, slots, bounds.maxQueued);
+    case 'adaptive':
+      return new AdaptivePolicy(system, slots, {
+        ...ADAPTIVE_OPTIONS,
+        ...bounds,
+      });
+  }
+}
--- /dev/null
+++ b/packages/limits/test/slot_policy.test.ts
@@ -0,0 +1,60 @@
+/**
+ * Properties that every slot policy keeps, whatever is asked of it.
+ */
+import test from 'ava';
+import fc from 'fast-check';
+
+import type {System} from '@dottereldrift/core/system.js';
+import {VirtualSystem} from '@dottereldrift/core/virtual_system.js';
+
+import {ADAPTIVE_OPTIONS, PLAIN_OPTIONS} from '../src/adaptive_options.js';
+import {AdaptivePolicy} from '../src/adaptive_policy.js';
+import {FifoPolicy} from '../src/fifo_policy.js';
+import type {SlotPolicy} from '../src/types.js';
+import {COMMANDS, type DriverBounds, SlotDriver} from './slot_driver.js';
+
+const SEED = 20_261;
+const RUNS = 300;
+const BOUNDS: DriverBounds = {maxQueued: 8, maxQueuedBytes: 1_000};
+
+type Create = (system: System) => SlotPolicy;
+
+const POLICIES: Readonly<Record<string, Create>> = {
+  fifo: system => new FifoPolicy(system, 1, BOUNDS.maxQueued),
+  adaptive: system =>
+    new AdaptivePolicy(system, 1, {...ADAPTIVE_OPTIONS, ...BOUNDS}),
+  plain: system => new AdaptivePolicy(system, 1, {...PLAIN_OPTIONS, ...BOUNDS}),
+  'newest first': system =>
+    new AdaptivePolicy(system, 1, {
+      ...ADAPTIVE_OPTIONS,
+      ...BOUNDS,
+      isNewestFirst: true,
+      waitMultiple: 0,
+      dropMultiple: 0,
+    }),
+  'slow start': system =>
+    new AdaptivePolicy(system, 1, {
+      ...ADAPTIVE_OPTIONS,
+      ...BOUNDS,
+      slowStartMs: 500,
+    }),
+};
+
+for (const [name, create] of Object.entries(POLICIES)) {
+  test(`${name}: each request is run or refused once, within slots and bounds`, t => {
+    const isBytesBounded = name !== 'fifo';
+    const bounds = isBytesBounded
+      ? BOUNDS
+      : {...BOUNDS, maxQueuedBytes: Infinity};
+    fc.assert(
+      fc.property(COMMANDS, commands => {
+        const system = new VirtualSystem(() => 0.5);
+        const driver = new SlotDriver(system, create(system), bounds);
+        const faults = driver.run(commands);
+        return faults.length === 0;
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    t.pass();
+  });
+}
