Answer bad usage and bad files with code 2, and judge manifests once

Cause: an unknown command ended with code 1; the wording of faults named the library's terms; `apply` returned before the manifest was judged; and a coordinator whose write of the accepted copy had no answer never wrote the status, since the next look found the submission in force already.

Ruled out: deriving the status from the accepted copy alone, which cannot tell why a submission was refused.

Change: usage is checked before the argument library sees it; faults say what was found and what is allowed; `apply` waits for the judgement and prints the generation or the faults; judging is one pure function that also finds a status left unwritten. A lost answer of the store is told as "may have been made" with status 502, apart from a conflict.

The fault of the unwritten status was found by reading; its test was not run against the old function.

Conclusion: every early end of the command line has its code and its line.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -11,7 +11,7 @@
 import {createDaemon} from '@dottereldrift/daemon/daemon.js';
 import {readSettings} from '@dottereldrift/daemon/settings.js';
 import {checkManifest, formatFault} from '@dottereldrift/manifest/check.js';
-import type {Fault} from '@dottereldrift/manifest/types.js';
+import type {Fault, ManifestStatus} from '@dottereldrift/manifest/types.js';
 
 import {
   type OperatorAnswer,
@@ -28,6 +28,10 @@
 export const EXIT_FAILED = 1;
 export const EXIT_BAD_INPUT = 2;
 
+/** Time within which a submitted manifest is judged. */
+const JUDGEMENT_LIMIT_MS = 10_000;
+const JUDGEMENT_POLL_MS = 100;
+
 interface OutputFlags extends OperatorFlags {
   readonly json?: boolean;
 }
@@ -41,20 +45,76 @@
   const program = sade('dottereldrift').version(VERSION);
   addDaemonCommands(program);
   addOperatorCommands(program);
+  const problem = findUsageProblem(args);
+  if (problem !== undefined) {
+    failWith(EXIT_BAD_INPUT, formatMessage('DD1010', {reason: problem}));
+    return;
+  }
   const parsed = program.parse([...args], {lazy: true, unknown: refuseFlag});
   if (parsed === undefined) return;
   const {handler, args: values} = parsed;
   void Promise.resolve()
     .then(() => handler(...values) as unknown)
     .catch((error: unknown) => {
-      process.stderr.write(`${getErrorText(error)}\n`);
-      process.exitCode = EXIT_FAILED;
+      failWith(EXIT_FAILED, getErrorText(error));
     });
 }
 
+/** Numbers of values that each command takes. */
+const COMMAND_VALUES: Readonly<Record<string, number>> = {
+  daemon: 0,
+  check: 1,
+  apply: 1,
+  get: 0,
+  status: 0,
+  explain: 2,
+  drain: 1,
+  fence: 1,
+  report: 0,
+};
+
+/** Flags that stand alone; every other flag takes the word behind it. */
+const SWITCHES: ReadonlySet<string> = new Set([
+  '--help',
+  '-h',
+  '--version',
+  '-v',
+  '--json',
+  '--undo',
+]);
+
+/** Finds what the argument library would answer with another exit code than ours. */
+function findUsageProblem(args: readonly string[]): string | undefined {
+  const words = args.slice(2);
+  if (words.some(word => SWITCHES.has(word) && /^--?[hv]/.test(word))) {
+    return undefined;
+  }
+  const values = words.filter(
+    (word, index) => !isFlag(word) && !isFlagValue(words, index),
+  );
+  const [command, ...rest] = values;
+  if (command === undefined) return 'no command is given; try --help';
+  if (!Object.hasOwn(COMMAND_VALUES, command)) {
+    return `unknown command ${command}`;
+  }
+  const wanted = COMMAND_VALUES[command] ?? 0;
+  if (rest.length === wanted) return undefined;
+  return `${command} takes ${wanted} values, found ${rest.length}`;
+}
+
+function isFlag(word: string): boolean {
+  return word.startsWith('-');
+}
+
+function isFlagValue(words: readonly string[], index: number): boolean {
+  const previous = words[index - 1];
+  if (previous === undefined || !isFlag(previous)) return false;
+  return !SWITCHES.has(previous) && !previous.includes('=');
+}
+
 function refuseFlag(flag: string): string {
-  process.exitCode = EXIT_BAD_INPUT;
-  process.stderr.write(`${formatMessage('DD1010', {reason: flag})}\n`);
+  const reason = `unknown flag ${flag}`;
+  failWith(EXIT_BAD_INPUT, formatMessage('DD1010', {reason}));
   process.exit(EXIT_BAD_INPUT);
 }
 
@@ -179,15 +239,63 @@
     return;
   }
   const ifVersion = flags['if-version'];
-  const body = {
-    text,
-    ...(ifVersion === undefined ? {} : {ifVersion: Number(ifVersion)}),
-  };
-  await print(
-    flags,
-    client => client.call('PUT', '/manifest', body),
-    formatJson,
-  );
+  if (ifVersion !== undefined && !Number.isInteger(ifVersion)) {
+    const reason = `--if-version takes a whole number, found ${ifVersion}`;
+    failWith(EXIT_BAD_INPUT, formatMessage('DD1010', {reason}));
+    return;
+  }
+  const client = OperatorClient.tryCreate(flags);
+  if (E.isLeft(client)) {
+    failWith(EXIT_BAD_INPUT, client.left);
+    return;
+  }
+  const body = {text, ...(ifVersion === undefined ? {} : {ifVersion})};
+  const submitted = await client.right.call('PUT', '/manifest', body);
+  if (!submitted.isDone) {
+    failWith(EXIT_FAILED, submitted.text);
+    return;
+  }
+  const {version} = submitted.value as {readonly version: number};
+  await printJudgement(client.right, version);
+}
+
+/** Waits until the submission has been judged, and prints what became of it. */
+async function printJudgement(
+  client: OperatorClient,
+  version: number,
+): Promise<void> {
+  const endMs = Date.now() + JUDGEMENT_LIMIT_MS;
+  while (Date.now() < endMs) {
+    const answer = await client.call('GET', '/manifest');
+    const {status} = answer.value as {readonly status?: ManifestStatus | null};
+    if (answer.isDone && (status?.sourceVersion ?? 0) >= version) {
+      printStatusOfManifest(status as ManifestStatus, version);
+      return;
+    }
+    await new Promise(resolve => setTimeout(resolve, JUDGEMENT_POLL_MS));
+  }
+  failWith(EXIT_FAILED, formatMessage('DD5008', {version}));
+}
+
+function printStatusOfManifest(status: ManifestStatus, version: number): void {
+  if (status.sourceVersion > version) {
+    failWith(
+      EXIT_FAILED,
+      formatMessage('DD5003', {
+        expected: version,
+        found: status.sourceVersion,
+      }),
+    );
+    return;
+  }
+  if (status.isAccepted) {
+    const {generation} = status;
+    process.stdout.write(`${formatMessage('DD5001', {generation, version})}\n`);
+    return;
+  }
+  const lines = status.faults.map(formatFault);
+  const head = formatMessage('DD5002', {count: lines.length});
+  failWith(EXIT_FAILED, [head, ...lines].join('\n'));
 }
 
 async function print(
--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -13,9 +13,10 @@
   DD1001: 'Cannot read {path}: {reason}.',
   DD1002: '{path} is not valid JSON: {reason}.',
   DD1003: '{at}: {reason}.',
-  DD1004: '{path} has {count} faults.',
+  DD1004: 'Faults of {path}: {count}.',
   DD1005: '{path} is valid.',
-  DD1010: 'Unknown command or flag: {reason}.',
+  DD1010: 'Bad usage: {reason}.',
+  DD1011: 'The body of the call is not valid.',
   DD2001: 'The store is unavailable: {reason}.',
   DD2002: 'The store did not answer in time; the write may have taken effect.',
   DD2003: 'The object changed: expected version {expected}, found {found}.',
@@ -60,14 +61,17 @@
     'Service {service} is not configured; the announcement is kept until it is.',
   DD4003: 'Only a server on this host may announce itself here.',
   DD4010: 'The key given does not match.',
-  DD5001: 'Configuration generation {generation} is accepted.',
-  DD5002: 'The manifest is refused: {count} faults.',
+  DD5001:
+    'The manifest, submitted as version {version}, is accepted as generation {generation}.',
+  DD5002: 'The manifest is refused; faults: {count}.',
   DD5003:
     'The manifest changed: you gave version {expected}, the present version is {found}.',
   DD5004: 'Host {host} is not known.',
   DD5005: 'Host {host} is draining.',
   DD5006: 'Host {host} incarnation {incarnation} is fenced.',
   DD5007: 'The change may have been made; read it back before trying again.',
+  DD5008:
+    'The manifest, submitted as version {version}, has not been judged yet; ask again with get.',
   DD5010: 'Cannot reach the daemon at {address}: {reason}.',
 } as const;
 
--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -113,16 +113,14 @@
   private async judgeSubmitted(): Promise<void> {
     const submitted = this.view.getSubmitted();
     const status = this.view.getStatus();
-    if (
-      submitted === undefined ||
-      submitted.version <= (status?.value.sourceVersion ?? 0)
-    )
-      return;
-    const inForce = this.view.getManifest();
-    if (inForce !== undefined && inForce.sourceVersion >= submitted.version)
-      return;
+    if (submitted === undefined) return;
     const text = Buffer.from(submitted.value).toString('utf8');
-    const judged = judgeManifest(text, submitted.version, inForce);
+    const judged = judgeManifest(
+      {text, version: submitted.version},
+      this.view.getManifest(),
+      status?.value,
+    );
+    if (judged === undefined) return;
     if (judged.accepted !== undefined) {
       const isWritten = await this.writeJson(
         ACCEPTED_MANIFEST_KEY,
--- a/packages/daemon/src/operator_listener.ts
+++ b/packages/daemon/src/operator_listener.ts
@@ -1,12 +1,13 @@
 /**
  * The listener for operators: status, explanations, the manifest, drains and fences.
  */
-import type {FastifyInstance} from 'fastify';
+import type {FastifyInstance, FastifyReply} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
+import {z} from 'zod';
 
 import {createMessage, type Message} from '@dottereldrift/core/messages.js';
 import {hashKey} from '@dottereldrift/core/ring_hash.js';
-import {checkManifest} from '@dottereldrift/manifest/check.js';
+import {checkManifest, checkValue} from '@dottereldrift/manifest/check.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
 import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 
@@ -29,10 +30,10 @@
   readonly report: BurnReport;
 }
 
-interface ManifestBody {
-  readonly text: string;
-  readonly ifVersion?: number;
-}
+const submissionSchema = z.strictObject({
+  text: z.string(),
+  ifVersion: z.number().int().min(0).optional(),
+});
 
 /** Adds the routes of operators to a listener. */
 export function addOperatorRoutes(
@@ -96,16 +97,20 @@
       accepted: parts.view.getManifest() ?? null,
     });
   });
-  app.put<{Body: ManifestBody}>('/manifest', async (request, reply) => {
-    const {text, ifVersion} = request.body;
+  app.put('/manifest', async (request, reply) => {
+    const submission = checkValue(submissionSchema, request.body);
+    if (E.isLeft(submission)) {
+      const message = createMessage('DD1011');
+      return reply.code(400).send({...message, faults: submission.left});
+    }
+    const {text, ifVersion} = submission.right;
     const checked = checkManifest(text);
     if (E.isLeft(checked)) {
       const message = createMessage('DD5002', {count: checked.left.length});
       return reply.code(422).send({...message, faults: checked.left});
     }
     const read = await parts.store.getObject(SUBMITTED_MANIFEST_KEY)();
-    if (E.isLeft(read))
-      return reply.code(503).send(createStoreMessage(read.left));
+    if (E.isLeft(read)) return sendStoreFailure(reply, read.left);
     const found = read.right?.version ?? 0;
     if (ifVersion !== undefined && ifVersion !== found) {
       return reply.code(409).send({
@@ -119,8 +124,7 @@
       found,
       value,
     )();
-    if (E.isLeft(written))
-      return reply.code(409).send(createStoreMessage(written.left));
+    if (E.isLeft(written)) return sendStoreFailure(reply, written.left);
     parts.view.applyObject({
       key: SUBMITTED_MANIFEST_KEY,
       version: written.right,
@@ -144,7 +148,7 @@
       const value = Buffer.from(JSON.stringify({host}));
       const written = await parts.store.updateObject(key, 0, value)();
       if (E.isLeft(written) && written.left.kind !== 'conflict') {
-        return reply.code(503).send(createStoreMessage(written.left));
+        return sendStoreFailure(reply, written.left);
       }
       return reply.send(createMessage('DD5005', {host}));
     },
@@ -160,8 +164,7 @@
         `${DRAIN_PREFIX}${host}`,
         version,
       )();
-      if (E.isLeft(deleted))
-        return reply.code(503).send(createStoreMessage(deleted.left));
+      if (E.isLeft(deleted)) return sendStoreFailure(reply, deleted.left);
       return reply.code(204).send();
     },
   );
@@ -177,6 +180,22 @@
   );
 }
 
+const STORE_FAILURE_STATUS: Readonly<Record<StoreFailure['kind'], number>> = {
+  unavailable: 503,
+  budget: 503,
+  unknown: 502,
+  conflict: 409,
+  refused: 422,
+};
+
+function sendStoreFailure(
+  reply: FastifyReply,
+  failure: StoreFailure,
+): FastifyReply {
+  const status = STORE_FAILURE_STATUS[failure.kind];
+  return reply.code(status).send(createStoreMessage(failure));
+}
+
 function createStoreMessage(
   failure: StoreFailure,
 ): Message & {readonly version?: number} {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -24,7 +24,7 @@
   );
 
 const addressSchema = z.strictObject({
-  ip: z.union([z.ipv4(), z.ipv6()]),
+  ip: z.union([z.ipv4(), z.ipv6()], 'allowed is an IP number'),
   port: z.number().int().min(1).max(MAX_PORT),
 });
 
@@ -79,7 +79,10 @@
   peerAddress: addressSchema,
   serverAddress: addressSchema,
   operatorAddress: addressSchema,
-  storeUrl: z.url({protocol: /^http$/}),
+  storeUrl: z.url({
+    protocol: /^http$/,
+    error: 'allowed is a URL that begins with http://',
+  }),
   peers: z.array(addressSchema).max(64).default([]),
   peerKey: z.string().min(MIN_KEY_LENGTH),
   operatorKey: z.string().min(MIN_KEY_LENGTH),
--- a/packages/manifest/src/check.ts
+++ b/packages/manifest/src/check.ts
@@ -76,8 +76,13 @@
   ];
 }
 
+/** Words the library's message as what is allowed; what was found is said before it. */
 function formatAllowed(message: string): string {
-  return message.charAt(0).toLowerCase() + message.slice(1);
+  const allowed = message
+    .replace(/^Invalid (input|option): /, '')
+    .replace(/, received \w+$/, '')
+    .replace(/^Too (small|big): /, '');
+  return allowed.charAt(0).toLowerCase() + allowed.slice(1);
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
--- /dev/null
+++ b/packages/manifest/test/acceptance.test.ts
@@ -0,0 +1,80 @@
+/**
+ * Tests of what becomes of a submitted manifest.
+ */
+import test from 'ava';
+import fc from 'fast-check';
+
+import {chooseNewer, judgeManifest} from '../src/acceptance.js';
+import type {AcceptedManifest, ManifestStatus} from '../src/types.js';
+
+const GOOD = JSON.stringify({
+  services: {
+    menu: {
+      division: 'byKey',
+      kinds: [{name: 'read', idempotent: true, deadlineMs: 500}],
+    },
+  },
+});
+
+test('the first good manifest becomes generation 1', t => {
+  t.snapshot(judgeManifest({text: GOOD, version: 4}, undefined, undefined));
+});
+
+test('a bad manifest never displaces a good one', t => {
+  const first = judgeManifest({text: GOOD, version: 4}, undefined, undefined);
+  const second = judgeManifest(
+    {text: '{"services": {"menu": {}}}', version: 9},
+    first?.accepted,
+    first?.status,
+  );
+  t.is(second?.accepted, undefined);
+  t.snapshot(second?.status);
+});
+
+test('a status that was not written is written without a new generation', t => {
+  const first = judgeManifest({text: GOOD, version: 4}, undefined, undefined);
+  const again = judgeManifest(
+    {text: GOOD, version: 4},
+    first?.accepted,
+    undefined,
+  );
+  t.is(again?.accepted, undefined);
+  t.deepEqual(again?.status, first?.status);
+});
+
+test('generations never go back, in whatever order submissions are judged', t => {
+  const submission = fc.record({
+    isGood: fc.boolean(),
+    version: fc.integer({min: 1, max: 30}),
+    isStatusLost: fc.boolean(),
+  });
+  fc.assert(
+    fc.property(fc.array(submission, {maxLength: 40}), submissions => {
+      let accepted: AcceptedManifest | undefined;
+      let status: ManifestStatus | undefined;
+      for (const {isGood, version, isStatusLost} of submissions) {
+        const text = isGood ? GOOD : '{}';
+        const judged = judgeManifest({text, version}, accepted, status);
+        if (judged === undefined) continue;
+        const before = accepted;
+        accepted = judged.accepted ?? accepted;
+        if (!isStatusLost) status = judged.status;
+        if ((accepted?.generation ?? 0) < (before?.generation ?? 0))
+          return false;
+        if ((accepted?.sourceVersion ?? 0) < (before?.sourceVersion ?? 0))
+          return false;
+      }
+      return true;
+    }),
+    {seed: 20_261_204, numRuns: 500},
+  );
+  t.pass();
+});
+
+test('the manifest with the higher generation is kept', t => {
+  const low = {generation: 2, sourceVersion: 3, manifest: {services: {}}};
+  const high = {generation: 5, sourceVersion: 9, manifest: {services: {}}};
+  t.is(chooseNewer(high, low), high);
+  t.is(chooseNewer(low, high), high);
+  t.is(chooseNewer(undefined, low), low);
+});
