--- a/packages/bench/src/overload_experiments.ts
+++ b/packages/bench/src/overload_experiments.ts
@@ -15,6 +15,7 @@
   type Phase,
   READS,
   UNEVEN,
+  URGENT,
   type Workload,
 } from './overload_workloads.js';
 
@@ -52,6 +53,7 @@
   createSteady('batches 1%', createLongKind(0.01), 0.5),
   createSteady('batches 5%', createLongKind(0.05), 0.5),
   createSteady('uneven', UNEVEN, 0.8),
+  createSteady('urgent', URGENT, 2),
   createSwing('reads', READS, 0.8),
   createSwing('mixed', MIXED, 0.8),
   createSwing('mixed', MIXED, 1),
--- a/packages/bench/src/overload_workloads.ts
+++ b/packages/bench/src/overload_workloads.ts
@@ -81,6 +81,13 @@
   kinds: [{...READ, share: 0.78}, WRITE, BATCH],
 };
 
+/** Reads whose callers wait for no more than two and a half times the service time. */
+export const URGENT: Workload = {
+  ...READS,
+  name: 'urgent',
+  kinds: [{...READ, deadlineMs: 10}],
+};
+
 /** Reads of 1 ms of which three in ten take 20 times as long, which is usual for them. */
 export const UNEVEN: Workload = {
   ...READS,
--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -17,12 +17,8 @@
   readonly waitMultiple: number;
   /** Longest time that a request waits, in multiples of its usual service time; 0 for any. */
   readonly dropMultiple: number;
-  /** Serves the newest request first. */
-  readonly isNewestFirst: boolean;
   /** Gives callers turns. */
   readonly isFair: boolean;
-  /** Time in which a new server's slots grow from one to all; 0 for at once. */
-  readonly slowStartMs: number;
 }
 
 const MEBIBYTE = 1_024 * 1_024;
@@ -36,9 +32,7 @@
   isWeighted: false,
   waitMultiple: 0,
   dropMultiple: 0,
-  isNewestFirst: false,
   isFair: false,
-  slowStartMs: 0,
 };
 
 /** The parts that daemons use. */
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -16,7 +16,7 @@
 import {SlotQueue} from './slot_queue.js';
 import type {SlotPolicy, SlotRequest} from './types.js';
 import {WaitEstimator} from './wait_estimator.js';
-import type {ServingOrder, Waiting} from './waiting_list.js';
+import type {Waiting} from './waiting_list.js';
 
 const SWEEP_INTERVAL_MS = 20;
 /** Waits that are shorter are never refused for their length. */
@@ -31,8 +31,6 @@
   private readonly running = new Set<RunningRequest>();
   private readonly order: KindOrder;
   private readonly estimator: WaitEstimator;
-  private readonly createdAtMs: number;
-  private readonly servingOrder: ServingOrder;
   private isStarting = false;
   private isSweeping = false;
 
@@ -43,8 +41,6 @@
   ) {
     this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
     this.estimator = new WaitEstimator(this.order);
-    this.servingOrder = options.isNewestFirst ? 'newest' : 'oldest';
-    this.createdAtMs = system.getNow().monotonicMs;
   }
 
   requestSlot(request: SlotRequest): () => void {
@@ -166,10 +162,7 @@
     if (this.isStarting || this.queue.getSize() === 0) return;
     this.isStarting = true;
     const nowMs = this.system.getNow().monotonicMs;
-    while (
-      this.queue.getSize() > 0 &&
-      this.running.size < this.getUsableSlots(nowMs)
-    ) {
+    while (this.queue.getSize() > 0 && this.running.size < this.slots) {
       const kind = this.chooseKind(nowMs);
       if (kind === undefined) break;
       this.startNext(kind, nowMs);
@@ -178,7 +171,7 @@
   }
 
   private startNext(kind: KindState, nowMs: number): void {
-    const waiting = this.queue.take(kind, this.servingOrder);
+    const waiting = this.queue.take(kind, 'oldest');
     if (waiting === undefined) return;
     const code = this.findDropReason(waiting, kind, nowMs);
     if (code === undefined) this.startRequest(waiting.request, kind, nowMs);
@@ -186,18 +179,17 @@
   }
 
   private chooseKind(nowMs: number): KindState | undefined {
-    const order = this.servingOrder;
     if (this.hasLongSlot(nowMs))
-      return this.order.choose(this.queue.getKinds(), order);
+      return this.order.choose(this.queue.getKinds());
     const shortestMs = this.getShortestMs();
     const short = [...this.queue.getKinds()].filter(
       kind => !isLongKind(kind, shortestMs),
     );
-    return this.order.choose(short, order);
+    return this.order.choose(short);
   }
 
   private mayStart(kind: KindState, nowMs: number): boolean {
-    if (this.running.size >= this.getUsableSlots(nowMs)) return false;
+    if (this.running.size >= this.slots) return false;
     if (this.options.reservedShare === 0) return true;
     return !isLongKind(kind, this.getShortestMs()) || this.hasLongSlot(nowMs);
   }
@@ -230,8 +222,7 @@
   ): number {
     const {reservedShare} = this.options;
     const isLong = reservedShare > 0 && isLongKind(kind, this.getShortestMs());
-    const usable = this.getUsableSlots(nowMs);
-    const slots = isLong ? getLongSlots(usable, reservedShare) : usable;
+    const slots = isLong ? getLongSlots(this.slots, reservedShare) : this.slots;
     return this.estimator.computeWaitMs(
       {
         kind,
@@ -254,14 +245,6 @@
     return nowMs - arrivedAtMs > boundMs ? 'DD3025' : undefined;
   }
 
-  private getUsableSlots(nowMs: number): number {
-    const {slowStartMs} = this.options;
-    const ageMs = nowMs - this.createdAtMs;
-    if (ageMs >= slowStartMs) return this.slots;
-    const grown = Math.floor((this.slots * ageMs) / slowStartMs);
-    return Math.min(this.slots, Math.max(1, grown));
-  }
-
   /** While requests wait, looks now and then for those whose time has passed. */
   private startSweep(): void {
     if (this.isSweeping) return;
--- a/packages/limits/src/kind_order.ts
+++ b/packages/limits/src/kind_order.ts
@@ -2,17 +2,13 @@
  * Orders in which kinds of requests are served.
  */
 import type {KindState} from './kind_state.js';
-import type {ServingOrder} from './waiting_list.js';
 
 /** Chooses among kinds that wait. */
 export interface KindOrder {
   /** Takes note that a kind has begun to wait. */
   addKind(kind: KindState): void;
   /** Returns the kind that is served next. */
-  choose(
-    kinds: Iterable<KindState>,
-    order: ServingOrder,
-  ): KindState | undefined;
+  choose(kinds: Iterable<KindState>): KindState | undefined;
   /** Takes note that a request of a kind was given a slot. */
   recordStart(kind: KindState): void;
   /** Share of the slots that a kind may count on while the kinds given wait, from 0 to 1. */
@@ -25,18 +21,13 @@
 
   recordStart(): void {}
 
-  choose(
-    kinds: Iterable<KindState>,
-    order: ServingOrder,
-  ): KindState | undefined {
+  choose(kinds: Iterable<KindState>): KindState | undefined {
     let best: KindState | undefined;
     let bestNumber = 0;
     for (const kind of kinds) {
-      const number = kind.waiting.getNext(order)?.number;
+      const number = kind.waiting.getNext('oldest')?.number;
       if (number === undefined) continue;
-      const isBetter =
-        order === 'oldest' ? number < bestNumber : number > bestNumber;
-      if (best === undefined || isBetter) {
+      if (best === undefined || number < bestNumber) {
         best = kind;
         bestNumber = number;
       }
