--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -22,6 +22,8 @@
 /** Waits that are shorter are never refused for their length. */
 const MIN_BOUND_MS = 5;
 const MIN_RETRY_AFTER_MS = 20;
+/** Why a request that waits is refused: expired, too late to finish, or waiting too long. */
+const DROP_CODES = ['DD3006', 'DD3012', 'DD3025'] as const;
 const MAX_RETRY_AFTER_MS = 1_000;
 
 /** Slots given by service time, deadline, priority and caller. */
@@ -111,7 +113,7 @@
     const {isDeadlineChecked} = this.options;
     const isFirst = kind.running === 0 && kind.waiting.getSize() === 0;
     if (isFirst) return undefined;
-    const finishAtMs = nowMs + waitMs + kind.estimate.getTypicalMs();
+    const finishAtMs = nowMs + waitMs + kind.estimate.getUsualMs();
     if (isDeadlineChecked && finishAtMs > request.deadlineAtMs) return 'DD3012';
     if (waitMs > getBoundMs(kind, this.options.waitMultiple)) return 'DD3011';
     return undefined;
@@ -241,6 +243,11 @@
     nowMs: number,
   ): MessageCode | undefined {
     if (request.deadlineAtMs <= nowMs) return 'DD3006';
+    const isHopeless =
+      this.options.isDeadlineChecked &&
+      kind.running > 0 &&
+      nowMs + kind.estimate.getTypicalMs() > request.deadlineAtMs;
+    if (isHopeless) return 'DD3012';
     const boundMs = getBoundMs(kind, this.options.dropMultiple);
     return nowMs - arrivedAtMs > boundMs ? 'DD3025' : undefined;
   }
@@ -259,14 +266,12 @@
 
   private refuseOverdue(): void {
     const nowMs = this.system.getNow().monotonicMs;
-    const expired = this.queue.takeWhere(
-      waiting => waiting.request.deadlineAtMs <= nowMs,
-    );
-    const dropped = this.queue.takeWhere(
-      (waiting, kind) => this.findDropReason(waiting, kind, nowMs) === 'DD3025',
-    );
-    this.refuseEach(expired, 'DD3006');
-    this.refuseEach(dropped, 'DD3025');
+    for (const code of DROP_CODES) {
+      const dropped = this.queue.takeWhere(
+        (waiting, kind) => this.findDropReason(waiting, kind, nowMs) === code,
+      );
+      this.refuseEach(dropped, code);
+    }
   }
 
   private refuseEach(refused: readonly Waiting[], code: MessageCode): void {
