Choose among hosts by cost, with ejection of outliers

Two random hosts were compared by requests under way alone. HostChoice also weighs slots, latency, refusals for load and how long a host has been there, leaves out hosts that fail, never more than half, and tries them again one request at a time. Nothing is probed.

--- /dev/null
+++ b/packages/routing/src/host_choice.ts
@@ -0,0 +1,116 @@
+/**
+ * Chooses among the hosts that serve a service that is not divided by key. It rests on what this daemon
+ * has seen itself: its requests under way, latency, refusals and failures. Two hosts are drawn and the
+ * better one is taken, so that daemons with the same news do not all choose the same host.
+ */
+import type {System} from '@dottereldrift/core/system.js';
+
+import {HostRecord} from './host_record.js';
+
+/** A host that serves a service. */
+export interface ServingHost {
+  readonly host: string;
+  /** Slots that its server announced. */
+  readonly slots: number;
+}
+
+/** How an attempt ended: with an answer, with a refusal for load, or with a failure. */
+export type AttemptEnd = 'answered' | 'refused' | 'failed';
+
+/** Part of the hosts that may be left out for failures. */
+const MAX_EJECTED_SHARE = 0.5;
+
+/** Choice among the hosts of one service. */
+export class HostChoice {
+  private readonly records = new Map<string, HostRecord>();
+
+  constructor(private readonly system: System) {}
+
+  /** Chooses a host; `avoided` is taken only when there is no other. */
+  choose(hosts: readonly ServingHost[], avoided?: string): string | undefined {
+    const nowMs = this.system.getNow().monotonicMs;
+    this.addRecords(hosts, nowMs);
+    const others = hosts.filter(({host}) => host !== avoided);
+    const allowed = this.filterEjected(others, hosts.length, nowMs);
+    return this.drawBetter(allowed.length > 0 ? allowed : hosts, nowMs);
+  }
+
+  /** Takes note of an attempt; the returned function ends it, once. */
+  startAttempt(host: string): (end: AttemptEnd) => void {
+    const startedAtMs = this.system.getNow().monotonicMs;
+    const record = this.getRecord(host, startedAtMs);
+    record.startAttempt();
+    let isOver = false;
+    return end => {
+      if (isOver) return;
+      isOver = true;
+      const nowMs = this.system.getNow().monotonicMs;
+      const random = this.system.getRandom();
+      record.finishAttempt(end, nowMs - startedAtMs, nowMs, random);
+    };
+  }
+
+  /** Drops records of hosts that are gone and idle, and begins those of new ones. */
+  private addRecords(hosts: readonly ServingHost[], nowMs: number): void {
+    const isFirst = this.records.size === 0;
+    for (const {host} of hosts) {
+      if (this.records.has(host)) continue;
+      const record = new HostRecord(nowMs);
+      if (isFirst) record.setWarm();
+      this.records.set(host, record);
+    }
+    if (this.records.size === hosts.length) return;
+    const present = new Set(hosts.map(({host}) => host));
+    for (const [host, record] of this.records) {
+      if (!present.has(host) && record.isIdle()) this.records.delete(host);
+    }
+  }
+
+  /** Leaves out ejected hosts, the longest ejected first, down to the floor. */
+  private filterEjected(
+    hosts: readonly ServingHost[],
+    total: number,
+    nowMs: number,
+  ): readonly ServingHost[] {
+    const ejected = hosts
+      .filter(({host}) => this.getRecord(host, nowMs).isEjected(nowMs))
+      .sort(
+        (a, b) =>
+          this.getRecord(b.host, nowMs).getEjectedUntilMs() -
+          this.getRecord(a.host, nowMs).getEjectedUntilMs(),
+      );
+    const most = Math.floor(total * MAX_EJECTED_SHARE);
+    const left = new Set(ejected.slice(0, most));
+    return hosts.filter(host => !left.has(host));
+  }
+
+  private drawBetter(
+    hosts: readonly ServingHost[],
+    nowMs: number,
+  ): string | undefined {
+    const index = this.drawIndex(hosts.length);
+    const first = hosts[index];
+    if (first === undefined || hosts.length === 1) return first?.host;
+    const step = 1 + this.drawIndex(hosts.length - 1);
+    const second = hosts[(index + step) % hosts.length] ?? first;
+    const isSecond =
+      this.computeCost(second, nowMs) < this.computeCost(first, nowMs);
+    return (isSecond ? second : first).host;
+  }
+
+  private drawIndex(length: number): number {
+    return Math.floor(this.system.getRandom() * length);
+  }
+
+  private computeCost({host, slots}: ServingHost, nowMs: number): number {
+    return this.getRecord(host, nowMs).computeCost(nowMs) / Math.max(1, slots);
+  }
+
+  private getRecord(host: string, nowMs: number): HostRecord {
+    const present = this.records.get(host);
+    if (present !== undefined) return present;
+    const record = new HostRecord(nowMs);
+    this.records.set(host, record);
+    return record;
+  }
+}
--- /dev/null
+++ b/packages/routing/test/host_choice.test.ts
@@ -0,0 +1,158 @@
+/**
+ * Choice among hosts, in virtual time and with random numbers from a seed.
+ */
+import test from 'ava';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import {VirtualSystem} from '@dottereldrift/core/virtual_system.js';
+
+import {HostChoice, type ServingHost} from '../src/host_choice.js';
+
+const SEED = 20_263;
+const DRAWS = 1_000;
+
+function createSystem(seed = SEED): VirtualSystem {
+  const generator = xoroshiro128plus(seed);
+  return new VirtualSystem(() => uniformFloat64(generator));
+}
+
+function createHosts(...names: readonly string[]): readonly ServingHost[] {
+  return names.map(host => ({host, slots: 6}));
+}
+
+/** Chooses many times, with at most one request under way, and counts by host. */
+function countChoices(
+  choice: HostChoice,
+  hosts: readonly ServingHost[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (let draw = 0; draw < DRAWS; draw++) {
+    const host = choice.choose(hosts) ?? 'none';
+    counts[host] = (counts[host] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function failOften(choice: HostChoice, host: string): void {
+  for (let count = 0; count < 5; count++) choice.startAttempt(host)('failed');
+}
+
+test('no host is chosen where there is none', t => {
+  t.is(new HostChoice(createSystem()).choose([]), undefined);
+});
+
+test('equal hosts get equal shares', t => {
+  const choice = new HostChoice(createSystem());
+  const counts = countChoices(choice, createHosts('a', 'b', 'c'));
+  for (const count of Object.values(counts))
+    t.true(Math.abs(count - DRAWS / 3) < DRAWS / 15, String(count));
+});
+
+test('slots, requests under way and latency weigh', t => {
+  const system = createSystem();
+  const slots = new HostChoice(system);
+  const uneven = [
+    {host: 'a', slots: 3},
+    {host: 'b', slots: 9},
+  ];
+  t.is(countChoices(slots, uneven)['b'], DRAWS);
+  const hosts = createHosts('a', 'b');
+  const busy = new HostChoice(system);
+  busy.startAttempt('a');
+  t.is(countChoices(busy, hosts)['b'], DRAWS);
+  const slow = new HostChoice(system);
+  const end = slow.startAttempt('a');
+  system.runUntil(100);
+  end('answered');
+  t.is(countChoices(slow, hosts)['b'], DRAWS);
+});
+
+test('a slow host is tried again once its latency is old news', t => {
+  const system = createSystem();
+  const choice = new HostChoice(system);
+  const hosts = createHosts('a', 'b');
+  const end = choice.startAttempt('a');
+  system.runUntil(100);
+  end('answered');
+  system.runUntil(30_000);
+  t.true((countChoices(choice, hosts)['a'] ?? 0) > DRAWS / 3);
+});
+
+test('refusals for load count as pressure and are forgotten', t => {
+  const system = createSystem();
+  const choice = new HostChoice(system);
+  const hosts = createHosts('a', 'b');
+  choice.startAttempt('a')('refused');
+  t.is(countChoices(choice, hosts)['b'], DRAWS);
+  system.runUntil(60_000);
+  choice.startAttempt('b')('refused');
+  t.is(countChoices(choice, hosts)['a'], DRAWS);
+});
+
+test('a host that fails is left out, and then tried by one request', t => {
+  const system = createSystem();
+  const choice = new HostChoice(system);
+  const hosts = createHosts('a', 'b', 'c');
+  choice.choose(hosts);
+  failOften(choice, 'a');
+  t.is(countChoices(choice, hosts)['a'], undefined);
+  system.runUntil(5_000);
+  t.true((countChoices(choice, hosts)['a'] ?? 0) > 0);
+  const end = choice.startAttempt('a');
+  t.is(countChoices(choice, hosts)['a'], undefined);
+  end('answered');
+  t.true((countChoices(choice, hosts)['a'] ?? 0) > 0);
+});
+
+test('never more than half of the hosts are left out', t => {
+  const choice = new HostChoice(createSystem());
+  const hosts = createHosts('a', 'b', 'c', 'd', 'e');
+  choice.choose(hosts);
+  for (const {host} of hosts) failOften(choice, host);
+  t.is(Object.keys(countChoices(choice, hosts)).length, 3);
+});
+
+test('a host that has just appeared starts with a small share', t => {
+  const system = createSystem();
+  const choice = new HostChoice(system);
+  const ends = (hosts: readonly ServingHost[]) => {
+    let fresh = 0;
+    for (let draw = 0; draw < DRAWS; draw++) {
+      const running = Array.from({length: 9}, () => {
+        const host = choice.choose(hosts) ?? '';
+        if (host === 'c') fresh += 1;
+        return choice.startAttempt(host);
+      });
+      for (const end of running) end('answered');
+    }
+    return fresh / DRAWS / 9;
+  };
+  choice.choose(createHosts('a', 'b'));
+  const hosts = createHosts('a', 'b', 'c');
+  t.true(ends(hosts) < 0.15);
+  system.runUntil(10_000);
+  t.true(ends(hosts) > 0.25);
+});
+
+test('a retry goes to another host if there is one', t => {
+  const choice = new HostChoice(createSystem());
+  const hosts = createHosts('a', 'b');
+  for (let draw = 0; draw < DRAWS; draw++) t.is(choice.choose(hosts, 'a'), 'b');
+  t.is(choice.choose(createHosts('a'), 'a'), 'a');
+});
+
+test('daemons with the same news spread over the hosts', t => {
+  const hosts = createHosts('a', 'b', 'c', 'd');
+  const counts: Record<string, number> = {};
+  for (let daemon = 0; daemon < 400; daemon++) {
+    const choice = new HostChoice(createSystem(SEED + daemon));
+    choice.choose(hosts);
+    choice.startAttempt('a')('refused');
+    const host = choice.choose(hosts) ?? '';
+    counts[host] = (counts[host] ?? 0) + 1;
+  }
+  t.is(counts['a'], undefined);
+  for (const host of ['b', 'c', 'd'])
+    t.true(Math.abs((counts[host] ?? 0) - 400 / 3) < 40, host);
+});
