Tell the outcome of an attempt at every point of failure

An answer that only the end of the connection delimits is now refused as unknown, for a server that dies in the middle of it looks the same. Looked up in undici and confirmed by test: it never sends a request again by itself, and onRequestStart comes before the first byte.

Also: the outcome covers every attempt, so a refusal after an unknown attempt stays unknown; sending refused requests again has a budget; uploads are bounded while they stream; bodies are buffered within the deadline; input that is not HTTP gets a problem with its outcome; Retry-After is in whole seconds and the exact time goes in an internal header.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -54,6 +54,12 @@
   DD3026: 'Retries are held back: too many requests fail.',
   DD3027:
     'The answer to this Idempotency-Key was not kept; the request has run.',
+  DD3028:
+    'The answer of {peer} has neither a length nor chunks, so its end cannot be told from a cut.',
+  DD3029:
+    'This Idempotency-Key was used for a request with another method, path or body.',
+  DD3030: 'The request is not valid HTTP: {reason}.',
+  DD3031: 'The head of the request is larger than the limit.',
   DD3099: 'The daemon failed while it handled the request: {reason}.',
   DD4001: 'The announcement is not valid.',
   DD4002:
--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -7,10 +7,18 @@
 import type {Outcome} from '@dottereldrift/core/types.js';
 
 import type {AnswerSink} from './exchange.js';
-import {CODE_HEADER, GENERATION_HEADER, OUTCOME_HEADER} from './headers.js';
+import {
+  CODE_HEADER,
+  GENERATION_HEADER,
+  OUTCOME_HEADER,
+  RETRY_AFTER_MS_HEADER,
+} from './headers.js';
 
 const MS_PER_SECOND = 1_000;
 
+/** Media type of problems. */
+export const PROBLEM_TYPE = 'application/problem+json';
+
 /** Passes a backend server's answer on to a connection. */
 export class HttpAnswer implements AnswerSink {
   private isStarted = false;
@@ -33,7 +41,9 @@
     this.response.once('drain', callback);
   }
 
-  endAnswer(): void {
+  endAnswer(trailers: Readonly<Record<string, string | string[]>>): void {
+    const pairs = listPairs(trailers);
+    if (pairs.length > 0) this.response.addTrailers(pairs);
     this.response.end();
   }
 
@@ -47,6 +57,14 @@
   }
 }
 
+function listPairs(
+  headers: Readonly<Record<string, string | string[]>>,
+): Array<[string, string]> {
+  return Object.entries(headers).flatMap(([name, value]) =>
+    [value].flat().map((one): [string, string] => [name, one]),
+  );
+}
+
 /** An answer that this daemon gives itself. */
 export interface Problem {
   readonly status: number;
@@ -55,25 +73,32 @@
   readonly retryAfterMs: number;
   /** Generation of the assignment that the answering owner knows. */
   readonly generation?: number;
+  /** Whether the connection ends with the answer, because the request was not read to its end. */
+  readonly isLast?: boolean;
 }
 
-/** Writes a problem as `application/problem+json`. */
+/**
+ * Writes a problem as `application/problem+json`. When an answer has already begun, the connection is
+ * broken instead, so that the caller sees that the answer is not whole.
+ */
 export function writeProblem(response: ServerResponse, problem: Problem): void {
+  if (response.headersSent) {
+    response.destroy();
+    return;
+  }
   const {status, outcome, message, retryAfterMs, generation} = problem;
-  const body = JSON.stringify({
-    type: `urn:dottereldrift:${message.code}`,
-    title: message.text,
-    status,
-    outcome,
-    code: message.code,
-  });
+  const body = formatProblem(problem);
   response.writeHead(status, {
-    'content-type': 'application/problem+json',
+    'content-type': PROBLEM_TYPE,
     'content-length': Buffer.byteLength(body),
     [OUTCOME_HEADER]: outcome,
     [CODE_HEADER]: message.code,
+    ...(problem.isLast === true ? {connection: 'close'} : {}),
     ...(retryAfterMs > 0
-      ? {'retry-after': String(retryAfterMs / MS_PER_SECOND)}
+      ? {
+          'retry-after': String(Math.ceil(retryAfterMs / MS_PER_SECOND)),
+          [RETRY_AFTER_MS_HEADER]: String(retryAfterMs),
+        }
       : {}),
     ...(generation === undefined
       ? {}
@@ -81,3 +106,15 @@
   });
   response.end(body);
 }
+
+/** Returns the body of a problem. */
+export function formatProblem(problem: Problem): string {
+  const {status, outcome, message} = problem;
+  return JSON.stringify({
+    type: `urn:dottereldrift:${message.code}`,
+    title: message.text,
+    status,
+    outcome,
+    code: message.code,
+  });
+}
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -7,8 +7,18 @@
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {ServiceName} from '@dottereldrift/core/types.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
-import {getRetryDelayMs, isRetryAllowed} from '@dottereldrift/routing/retry.js';
-import {RetryBudget} from '@dottereldrift/routing/retry_budget.js';
+import {
+  getResendCost,
+  getRetryDelayMs,
+  isRetryAllowed,
+  mergeFailure,
+  type RefusedAttempt,
+} from '@dottereldrift/routing/retry.js';
+import {
+  FAILURE_BUDGET,
+  REFUSAL_BUDGET,
+  RetryBudget,
+} from '@dottereldrift/routing/retry_budget.js';
 import type {
   AttemptFailure,
   Candidate,
@@ -22,9 +32,14 @@
 
 const ROUTE_WAIT_MS = 10;
 
+interface Budgets {
+  readonly failures: RetryBudget;
+  readonly refusals: RetryBudget;
+}
+
 /** Routes requests. */
 export class Entry {
-  private readonly budgets = new Map<ServiceName, RetryBudget>();
+  private readonly budgets = new Map<ServiceName, Budgets>();
   /** Requests that this daemon has under way, by host. */
   private readonly inFlight = new Map<string, number>();
 
@@ -38,56 +53,71 @@
 
   /** Handles a request until it is answered or has failed for good. */
   async handle(exchange: Exchange): Promise<AttemptResult> {
-    const budget = this.getBudget(exchange.target.service);
-    budget.addRequest();
+    const budgets = this.getBudgets(exchange.target.service);
+    budgets.failures.addRequest();
+    budgets.refusals.addRequest();
     let attemptsMade = 0;
+    let refused: RefusedAttempt | undefined;
+    let failure: AttemptFailure | undefined;
     for (let retries = 0; ; retries++) {
-      const result = await this.tryOnce(exchange);
-      if (result.kind === 'answered') return result;
-      const {failure} = result;
-      if (failure.outcome === 'unknown') attemptsMade += 1;
-      const delayMs = getRetryDelayMs(
-        retries,
-        failure.retryAfterMs,
-        this.system.getRandom(),
-      );
-      if (!this.isRetryWorthwhile(exchange, failure, attemptsMade, delayMs))
-        return result;
-      if (failure.outcome === 'unknown' && !budget.tryRetry()) return result;
-      await waitFor(this.system, delayMs);
-      if (exchange.abandoned.aborted) return result;
+      const route = this.chooseRoute(exchange);
+      if (
+        failure === undefined ||
+        refused === undefined ||
+        mayResend(refused, route, budgets.refusals)
+      ) {
+        const result = await this.tryRoute(route, exchange);
+        if (result.kind === 'answered') return result;
+        failure = result.failure;
+        refused = createRefused(route, failure) ?? refused;
+        if (failure.outcome === 'unknown') attemptsMade += 1;
+      }
+      const delayMs = this.drawDelayMs(retries, failure);
+      const mayRetry =
+        this.isRetryWorthwhile(exchange, failure, attemptsMade, delayMs) &&
+        (failure.outcome === 'not-run' || budgets.failures.tryRetry());
+      if (mayRetry) await waitFor(this.system, delayMs);
+      if (!mayRetry || exchange.abandoned.aborted) {
+        const merged = mergeFailure(attemptsMade > 0, failure);
+        return {kind: 'failed', failure: merged};
+      }
     }
   }
 
+  private drawDelayMs(retries: number, failure: AttemptFailure): number {
+    const random = this.system.getRandom();
+    return getRetryDelayMs(retries, failure.retryAfterMs, random);
+  }
+
   private isRetryWorthwhile(
     exchange: Exchange,
     failure: AttemptFailure,
     attemptsMade: number,
     delayMs: number,
   ): boolean {
-    if (FINAL_CODES.has(failure.code)) return false;
+    const {body} = exchange;
     return isRetryAllowed({
       failure,
       isIdempotent: exchange.kind.idempotent,
       attemptsMade,
       maxAttempts: exchange.kind.maxAttempts,
-      isBodyKept: exchange.body.kind !== 'stream',
+      isBodyKept: body.kind !== 'stream' || body.upload.isUntouched(),
       remainingMs: exchange.deadlineAtMs - this.system.getNow().monotonicMs,
       delayMs,
     });
   }
 
-  private async tryOnce(exchange: Exchange): Promise<AttemptResult> {
-    const route = this.chooseRoute(exchange);
+  private async tryRoute(
+    route: RouteDecision,
+    exchange: Exchange,
+  ): Promise<AttemptResult> {
     if (route.kind !== 'send') return failRoute(route.code, exchange);
     const {candidate, generation} = route;
-    const firstGeneration = exchange.firstGeneration;
     const {host} = candidate.member;
     this.addInFlight(host, 1);
     try {
-      const stamped = {...exchange, firstGeneration};
-      if (candidate.isLocal) return await this.owner.handle(stamped);
-      return await this.forwarder.forward(candidate, stamped, generation);
+      if (candidate.isLocal) return await this.owner.handle(exchange);
+      return await this.forwarder.forward(candidate, exchange, generation);
     } finally {
       this.addInFlight(host, -1);
     }
@@ -148,12 +178,15 @@
     return {member, peerAddress, isLocal: host === this.selfHost};
   }
 
-  private getBudget(service: ServiceName): RetryBudget {
+  private getBudgets(service: ServiceName): Budgets {
     const present = this.budgets.get(service);
     if (present !== undefined) return present;
-    const budget = new RetryBudget();
-    this.budgets.set(service, budget);
-    return budget;
+    const budgets = {
+      failures: new RetryBudget(FAILURE_BUDGET),
+      refusals: new RetryBudget(REFUSAL_BUDGET),
+    };
+    this.budgets.set(service, budgets);
+    return budgets;
   }
 
   private getInFlight(host: string): number {
@@ -165,17 +198,26 @@
   }
 }
 
-/** Refusals that another try within the same request would only meet again. */
-const FINAL_CODES: ReadonlySet<MessageCode> = new Set([
-  'DD3006',
-  'DD3011',
-  'DD3012',
-  'DD3018',
-  'DD3019',
-  'DD3022',
-  'DD3025',
-  'DD3027',
-]);
+/** Returns who refused; undefined when no host was asked. */
+function createRefused(
+  route: RouteDecision,
+  failure: AttemptFailure,
+): RefusedAttempt | undefined {
+  if (route.kind !== 'send') return undefined;
+  const {member, isLocal} = route.candidate;
+  return {failure, host: member.host, isLocal};
+}
+
+function mayResend(
+  last: RefusedAttempt,
+  route: RouteDecision,
+  budget: RetryBudget,
+): boolean {
+  if (last.failure.outcome === 'unknown' || route.kind !== 'send') return true;
+  const {candidate, generation} = route;
+  const cost = getResendCost(last, {host: candidate.member.host, generation});
+  return cost === 'free' || (cost === 'budget' && budget.tryRetry());
+}
 
 function failRoute(code: MessageCode, exchange: Exchange): AttemptResult {
   const text = formatMessage(code, {service: exchange.target.service});
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -1,8 +1,6 @@
 /**
  * One request on its way through the daemon, and the place where its answer goes.
  */
-import type {Readable} from 'node:stream';
-
 import type {Instant} from '@dottereldrift/core/types.js';
 import type {RequestKind, ServiceRules} from '@dottereldrift/manifest/types.js';
 import type {
@@ -10,11 +8,13 @@
   RequestTarget,
 } from '@dottereldrift/routing/types.js';
 
+import type {Upload} from './upload.js';
+
 /** Body of a request: at hand as a whole, or streamed once. */
 export type RequestBody =
   | {readonly kind: 'none'}
   | {readonly kind: 'buffered'; readonly bytes: Buffer}
-  | {readonly kind: 'stream'; readonly stream: Readable};
+  | {readonly kind: 'stream'; readonly upload: Upload};
 
 /** A request as every stage of the daemon sees it. */
 export interface Exchange {
@@ -47,7 +47,8 @@
   writeChunk(chunk: Buffer): boolean;
   /** Calls back once when the caller has caught up. */
   waitForDrain(callback: () => void): void;
-  endAnswer(): void;
+  /** Ends the answer, with trailers where its encoding allows them. */
+  endAnswer(trailers: Readonly<Record<string, string | string[]>>): void;
   /** Breaks the connection so that the caller sees that the answer is not whole. */
   abort(): void;
 }
--- a/packages/daemon/src/exchange_factory.ts
+++ b/packages/daemon/src/exchange_factory.ts
@@ -6,7 +6,11 @@
 import * as E from 'fp-ts/lib/Either.js';
 import * as O from 'fp-ts/lib/Option.js';
 
-import {createMessage, type Message} from '@dottereldrift/core/messages.js';
+import {
+  createMessage,
+  type Message,
+  type MessageCode,
+} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
 import {findKind} from '@dottereldrift/manifest/kind_match.js';
 import type {
@@ -33,6 +37,7 @@
   REMAINING_HEADER,
 } from './headers.js';
 import type {Limits} from './settings.js';
+import {Upload} from './upload.js';
 
 const MAX_DEADLINE_MS = 600_000;
 const MAX_KEY_LENGTH = 1_024;
@@ -80,10 +85,10 @@
     if (E.isLeft(checked)) return checked;
     const receivedAt = this.system.getNow();
     const abandoned = watchAbandonment(request, response);
-    const body = await this.readBody(request);
-    if (E.isLeft(body)) return body;
     const {target, rules, kind} = found.right;
     const deadlineMs = checked.right.deadlineMs ?? kind.deadlineMs;
+    const body = await this.readBody(request, deadlineMs);
+    if (E.isLeft(body)) return body;
     return E.right({
       method: request.method ?? 'GET',
       target,
@@ -137,6 +142,7 @@
 
   private async readBody(
     request: IncomingMessage,
+    deadlineMs: number,
   ): Promise<E.Either<BadRequest, RequestBody>> {
     const length = request.headers['content-length'];
     const hasBody =
@@ -147,21 +153,38 @@
     if (declared !== Infinity && declared > this.limits.bodyBytes)
       return E.left(this.refuseBody());
     if (declared > this.limits.bufferedBodyBytes) {
-      return E.right({kind: 'stream', stream: request});
+      const upload = new Upload(request, this.limits.bodyBytes);
+      return E.right({kind: 'stream', upload});
     }
-    return this.bufferBody(request);
+    return this.bufferBody(request, deadlineMs);
   }
 
-  private async bufferBody(
+  /** Reads a body of bounded length, within the deadline. */
+  private bufferBody(
     request: IncomingMessage,
+    deadlineMs: number,
   ): Promise<E.Either<BadRequest, RequestBody>> {
-    const chunks: Buffer[] = [];
-    try {
-      for await (const chunk of request) chunks.push(chunk as Buffer);
-    } catch {
-      return E.left({status: 400, message: createMessage('DD3022')});
-    }
-    return E.right({kind: 'buffered', bytes: Buffer.concat(chunks)});
+    return new Promise(resolve => {
+      const chunks: Buffer[] = [];
+      const fail = (status: number, code: MessageCode) => {
+        cancel();
+        resolve(E.left({status, message: createMessage(code, {deadlineMs})}));
+      };
+      const cancel = this.system.startTimer(deadlineMs, () => {
+        fail(504, 'DD3006');
+      });
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.once('end', () => {
+        cancel();
+        resolve(E.right({kind: 'buffered', bytes: Buffer.concat(chunks)}));
+      });
+      request.once('error', () => {
+        fail(400, 'DD3022');
+      });
+      request.once('close', () => {
+        fail(400, 'DD3022');
+      });
+    });
   }
 
   private refuseBody(): BadRequest {
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -28,6 +28,7 @@
   OUTCOME_HEADER,
   PASSED_AUTHORIZATION_HEADER,
   REMAINING_HEADER,
+  RETRY_AFTER_MS_HEADER,
 } from './headers.js';
 import {parseNumberHeader, sendAttempt} from './http_attempt.js';
 
@@ -35,7 +36,6 @@
 const GRACE_MS = 30;
 const CONNECT_TIMEOUT_MS = 500;
 const MAX_CONNECTIONS = 128;
-const MS_PER_SECOND = 1_000;
 const KNOWN_CODES: ReadonlySet<string> = new Set(getMessageCodes());
 
 /** Sends requests to other daemons. */
@@ -71,12 +71,11 @@
       },
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs + GRACE_MS,
-      deadlineMs: Math.round(
-        exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
-      ),
+      deadlineMs: getDeadlineMs(exchange),
       abandoned: exchange.abandoned,
       answer: exchange.answer,
-      readFailure: readPeerFailure,
+      readFailure: (_status, headers) =>
+        readPeerFailure(headers, candidate.member.host, exchange),
       answerHeaders: {[OUTCOME_HEADER]: 'completed'},
       keepBytes: 0,
     });
@@ -109,6 +108,10 @@
   return `/services/${target.service}${key}${target.path}`;
 }
 
+function getDeadlineMs(exchange: Exchange): number {
+  return Math.round(exchange.deadlineAtMs - exchange.receivedAt.monotonicMs);
+}
+
 function createPassedAuthorization(exchange: Exchange): Record<string, string> {
   const value = exchange.headers['authorization'];
   return typeof value === 'string'
@@ -123,8 +126,9 @@
 }
 
 function readPeerFailure(
-  _status: number,
   headers: HeaderMap,
+  host: string,
+  exchange: Exchange,
 ): AttemptFailure | undefined {
   const outcome = getHeader(headers, OUTCOME_HEADER) as Outcome | undefined;
   if (outcome === 'completed') return undefined;
@@ -135,8 +139,14 @@
   return {
     outcome: outcome === 'not-run' ? 'not-run' : 'unknown',
     code: known,
-    text: formatMessage(known),
-    retryAfterMs: parseNumberHeader(headers, 'retry-after') * MS_PER_SECOND,
+    text: formatMessage(known, {
+      host,
+      peer: host,
+      service: exchange.target.service,
+      deadlineMs: getDeadlineMs(exchange),
+      reason: `reported by ${host}`,
+    }),
+    retryAfterMs: parseNumberHeader(headers, RETRY_AFTER_MS_HEADER),
     ownerGeneration: parseNumberHeader(headers, GENERATION_HEADER),
   };
 }
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -11,6 +11,8 @@
 export const CODE_HEADER = 'dottereldrift-code';
 /** Generation of the assignment that the answering owner knows. */
 export const GENERATION_HEADER = 'dottereldrift-generation';
+/** Time after which another try is worth while, in milliseconds. */
+export const RETRY_AFTER_MS_HEADER = 'dottereldrift-retry-after-ms';
 /** Time left for the request, in milliseconds. */
 export const REMAINING_HEADER = 'dottereldrift-remaining-ms';
 /** Who the caller is, for fairness. */
--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -3,6 +3,8 @@
  * nothing has been written to a connection the request was not run; from then on, and until an
  * answer says otherwise, it may have been.
  */
+import type {Readable} from 'node:stream';
+
 import type {Dispatcher} from 'undici';
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
@@ -18,6 +20,7 @@
   RequestBody,
 } from './exchange.js';
 import {filterHeaders, getHeader, type HeaderMap} from './headers.js';
+import {UploadTooLargeError} from './upload.js';
 
 /** One attempt. */
 export interface Attempt {
@@ -95,9 +98,11 @@
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    // Throwing here withdraws the request before a byte of it is written and leaves the connection
+    // open; `abort` would close the connection, which is idle and sound.
+    if (this.giveUpReason !== undefined) throw new Error(this.giveUpReason);
     this.controller = controller;
-    if (this.giveUpReason === undefined) this.isSent = true;
-    else controller.abort(new Error(this.giveUpReason));
+    this.isSent = true;
   }
 
   onResponseStart(
@@ -107,9 +112,10 @@
   ): void {
     if (status < 200) return;
     this.status = status;
-    this.failure = this.attempt.readFailure(status, headers);
+    this.failure =
+      this.attempt.readFailure(status, headers) ??
+      this.findFramingFailure(status, headers);
     if (this.failure !== undefined) return;
-    this.hasAnswer = true;
     const passed = Object.assign(
       filterHeaders(headers),
       this.attempt.answerHeaders,
@@ -119,6 +125,7 @@
       this.keptChunks = [];
     }
     this.attempt.answer.startAnswer(status, passed);
+    this.hasAnswer = true;
   }
 
   onResponseData(
@@ -134,12 +141,15 @@
     });
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(
+    _controller: Dispatcher.DispatchController,
+    trailers: HeaderMap,
+  ): void {
     if (this.failure !== undefined) {
       this.finish({kind: 'failed', failure: this.failure});
       return;
     }
-    this.attempt.answer.endAnswer();
+    this.attempt.answer.endAnswer(filterHeaders(trailers));
     const kept = this.createKept();
     const {status} = this;
     this.finish({
@@ -151,10 +161,13 @@
   }
 
   onResponseError(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
-    if (this.hasAnswer) {
+    if (this.hasAnswer && this.hasNoBody(this.status)) {
+      // Whole with its head; undici misses the body that a 304 with a length does not have.
+      this.onResponseEnd(controller, {});
+    } else if (this.hasAnswer) {
       this.attempt.answer.abort();
       this.finish({kind: 'answered', status: this.status, isCut: true});
     } else {
@@ -165,21 +178,35 @@
     }
   }
 
+  /**
+   * Refuses an answer whose end is only shown by the end of the connection: a server that dies in
+   * the middle of it looks the same as one that has finished.
+   */
+  private findFramingFailure(
+    status: number,
+    headers: HeaderMap,
+  ): AttemptFailure | undefined {
+    const isDelimited =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+    if (this.hasNoBody(status) || isDelimited) return undefined;
+    const text = formatMessage('DD3028', {peer: this.attempt.peerName});
+    return {outcome: 'unknown', code: 'DD3028', text, retryAfterMs: 0};
+  }
+
+  private hasNoBody(status: number): boolean {
+    return this.attempt.method === 'HEAD' || status === 204 || status === 304;
+  }
+
   private dispatch(): void {
     const {attempt} = this;
-    const {body} = attempt;
     try {
       attempt.dispatcher.dispatch(
         {
           method: attempt.method as Dispatcher.HttpMethod,
           path: attempt.path,
           headers: attempt.headers,
-          body:
-            body.kind === 'none'
-              ? null
-              : body.kind === 'buffered'
-                ? body.bytes
-                : body.stream,
+          body: getDispatchedBody(attempt.body),
         },
         this,
       );
@@ -206,8 +233,9 @@
     const outcome: Exclude<Outcome, 'completed'> = this.isSent
       ? 'unknown'
       : 'not-run';
-    const code = this.chooseCode();
+    const code = this.chooseCode(error);
     const text = formatMessage(code, {
+      limitBytes: error instanceof UploadTooLargeError ? error.limitBytes : 0,
       peer: this.attempt.peerName,
       reason: getErrorText(error),
       deadlineMs: this.attempt.deadlineMs,
@@ -215,7 +243,8 @@
     return {outcome, code, text, retryAfterMs: 0};
   }
 
-  private chooseCode(): MessageCode {
+  private chooseCode(error: unknown): MessageCode {
+    if (error instanceof UploadTooLargeError) return 'DD3015';
     if (this.giveUpReason === 'deadline')
       return this.isSent ? 'DD3007' : 'DD3006';
     if (this.giveUpReason === 'abandoned') return 'DD3022';
@@ -252,6 +281,11 @@
   }
 }
 
+function getDispatchedBody(body: RequestBody): Buffer | Readable | null {
+  if (body.kind === 'none') return null;
+  return body.kind === 'buffered' ? body.bytes : body.upload.createStream();
+}
+
 /** Reads one header of an answer as a number; 0 when it is absent or not a number. */
 export function parseNumberHeader(headers: HeaderMap, name: string): number {
   const value = Number(getHeader(headers, name) ?? 0);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -340,7 +340,7 @@
   }
   exchange.answer.startAnswer(kept.status, headers);
   exchange.answer.writeChunk(Buffer.from(kept.body));
-  exchange.answer.endAnswer();
+  exchange.answer.endAnswer({});
   return {kind: 'answered', status: kept.status, isCut: false};
 }
 
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -13,6 +13,7 @@
 
 import {isAuthorized} from './access.js';
 import {parseEntry} from './entry_codec.js';
+import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Mover} from './mover.js';
 import type {Owner} from './owner.js';
 import type {WitnessKeeper} from './witness_keeper.js';
@@ -37,7 +38,11 @@
       done();
       return;
     }
-    void reply.code(401).send({...createMessage('DD4010')});
+    void reply
+      .code(401)
+      .header(OUTCOME_HEADER, 'not-run')
+      .header(CODE_HEADER, 'DD4010')
+      .send({...createMessage('DD4010')});
   });
   await app.register(fastifyConnectPlugin, {
     routes: router => {
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -2,7 +2,12 @@
  * Listens for requests: the callers' listener passes them to the entry stage, the peers' listener to
  * the owner stage. Both read and write the same way.
  */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  type IncomingMessage,
+  type ServerResponse,
+  STATUS_CODES,
+} from 'node:http';
+import type {Socket} from 'node:net';
 
 import fastify, {type FastifyInstance} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
@@ -11,9 +16,15 @@
 import {createMessage, formatMessage} from '@dottereldrift/core/messages.js';
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
-import {type Problem, writeProblem} from './answer_writer.js';
+import {
+  formatProblem,
+  type Problem,
+  PROBLEM_TYPE,
+  writeProblem,
+} from './answer_writer.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Limits} from './settings.js';
 
 /** Handles one exchange. */
@@ -27,6 +38,8 @@
 
 const KEEP_ALIVE_MS = 65_000;
 const REQUEST_HEAD_TIMEOUT_MS = 10_000;
+/** Time in which a whole request must have come in. */
+const REQUEST_TIMEOUT_MS = 600_000;
 
 /** Creates a listener with the bounds of this daemon. */
 export function createListener(limits: Limits): FastifyInstance {
@@ -39,9 +52,17 @@
       maxHeaderSize: limits.headerBytes,
       headersTimeout: REQUEST_HEAD_TIMEOUT_MS,
     },
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    clientErrorHandler: writeClientError,
+    frameworkErrors: (error, request, reply) => {
+      reply.hijack();
+      writeProblem(reply.raw, createHttpProblem(400, getErrorText(error)));
+      request.raw.resume();
+    },
     forceCloseConnections: 'idle',
   });
   app.removeAllContentTypeParsers();
+  app.server.maxConnections = limits.callerConnections;
   return app;
 }
 
@@ -58,7 +79,16 @@
   });
   app.all('/services/*', (request, reply) => {
     reply.hijack();
-    void serveRequest(request.raw, reply.raw, source, factory, handle, observe);
+    serveRequest(
+      request.raw,
+      reply.raw,
+      source,
+      factory,
+      handle,
+      observe,
+    ).catch(() => {
+      reply.raw.destroy();
+    });
   });
   app.setNotFoundHandler((request, reply) => {
     reply.hijack();
@@ -83,12 +113,12 @@
   const created = await factory.createExchange(request, response, source);
   if (E.isLeft(created)) {
     const {status, message} = created.left;
-    request.resume();
     writeProblem(response, {
       status,
       outcome: 'not-run',
       message,
       retryAfterMs: 0,
+      isLast: !request.complete,
     });
     return;
   }
@@ -98,8 +128,52 @@
   );
   observe(exchange, result);
   if (result.kind === 'answered' || response.destroyed) return;
-  if (exchange.body.kind === 'stream') request.resume();
-  writeProblem(response, createProblem(result.failure));
+  writeProblem(response, {
+    ...createProblem(result.failure),
+    isLast: !request.complete,
+  });
+}
+
+function createHttpProblem(status: number, reason: string): Problem {
+  const message =
+    status === 431
+      ? createMessage('DD3031')
+      : createMessage('DD3030', {reason});
+  return {status, outcome: 'not-run', message, retryAfterMs: 0, isLast: true};
+}
+
+interface ClientError extends Error {
+  readonly code?: string;
+}
+
+/**
+ * Answers input that is not HTTP, or whose head is too large or too slow. A request that is under way
+ * on the connection may have run, so then the connection is broken without a word.
+ */
+function writeClientError(error: ClientError, socket: Socket): void {
+  const {_httpMessage: underWay} = socket as {_httpMessage?: unknown};
+  const isBusy = underWay !== undefined && underWay !== null;
+  if (isBusy || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = getClientErrorStatus(error.code);
+  const problem = createHttpProblem(status, getErrorText(error));
+  const body = formatProblem(problem);
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    `content-type: ${PROBLEM_TYPE}`,
+    `content-length: ${Buffer.byteLength(body)}`,
+    `${OUTCOME_HEADER}: ${problem.outcome}`,
+    `${CODE_HEADER}: ${problem.message.code}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+function getClientErrorStatus(code: string | undefined): number {
+  if (code === 'HPE_HEADER_OVERFLOW') return 431;
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400;
 }
 
 /** A defect of this program ends one request, never the process; the request may have run. */
@@ -139,6 +213,12 @@
       return 409;
     case 'DD3017':
       return 421;
+    case 'DD3015':
+      return 413;
+    case 'DD3029':
+      return 422;
+    case 'DD3028':
+      return 502;
     case 'DD3099':
       return 500;
     default:
--- /dev/null
+++ b/packages/daemon/test/fakes.ts
@@ -0,0 +1,138 @@
+/**
+ * Fakes for tests of a request's way: a TCP server that is scripted byte by byte, a sink that keeps
+ * the answer it got, and a system whose timers fire on command.
+ */
+import {once} from 'node:events';
+import {
+  type AddressInfo,
+  createServer,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+import type {Cancel, System} from '@dottereldrift/core/system.js';
+import type {Instant} from '@dottereldrift/core/types.js';
+
+import type {AnswerSink} from '../src/exchange.js';
+
+/** A TCP server that hands every connection's bytes to a script. */
+export class FakeServer {
+  /** Everything received, one text for each connection, in the order of the connections. */
+  readonly received: string[] = [];
+  readonly sockets: Socket[] = [];
+  private readonly server: Server;
+
+  /** The script is called with all that a connection has received so far. */
+  constructor(script: (socket: Socket, text: string) => void) {
+    this.server = createServer(socket => {
+      const index = this.sockets.push(socket) - 1;
+      this.received.push('');
+      socket.on('error', () => {});
+      socket.on('data', chunk => {
+        this.received[index] += chunk.toString('latin1');
+        script(socket, this.received[index] ?? '');
+      });
+    });
+  }
+
+  async start(): Promise<string> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    const {port} = this.server.address() as AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  /** Counts the requests that began on any connection. */
+  countRequests(): number {
+    return this.received.join('').split(' HTTP/1.1\r\n').length - 1;
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+    await once(this.server, 'close');
+  }
+}
+
+/** Keeps an answer. */
+export class RecordingSink implements AnswerSink {
+  status = 0;
+  headers: Record<string, string | string[]> = {};
+  body = '';
+  trailers: Readonly<Record<string, string | string[]>> = {};
+  state: 'none' | 'started' | 'whole' | 'cut' = 'none';
+  /** Called with every chunk. */
+  onChunk: () => void = () => {};
+
+  startAnswer(
+    status: number,
+    headers: Record<string, string | string[]>,
+  ): void {
+    this.status = status;
+    this.headers = headers;
+    this.state = 'started';
+  }
+
+  writeChunk(chunk: Buffer): boolean {
+    this.body += chunk.toString('latin1');
+    this.onChunk();
+    return true;
+  }
+
+  waitForDrain(callback: () => void): void {
+    callback();
+  }
+
+  endAnswer(trailers: Readonly<Record<string, string | string[]>>): void {
+    this.trailers = trailers;
+    this.state = 'whole';
+  }
+
+  abort(): void {
+    this.state = 'cut';
+  }
+}
+
+/** A system whose clock stands still and whose timers fire on command. */
+export class ManualSystem implements System {
+  now: Instant = {monotonicMs: 1_000, wallMs: 1_700_000_000_000};
+  private timers: Array<{
+    readonly atMs: number;
+    readonly callback: () => void;
+  }> = [];
+
+  getNow(): Instant {
+    return this.now;
+  }
+
+  startTimer(delayMs: number, callback: () => void): Cancel {
+    const timer = {atMs: this.now.monotonicMs + delayMs, callback};
+    this.timers.push(timer);
+    return () => {
+      this.timers = this.timers.filter(other => other !== timer);
+    };
+  }
+
+  /** Moves both clocks on and fires what is due, in order. */
+  shift(byMs: number): void {
+    const {monotonicMs, wallMs} = this.now;
+    this.now = {monotonicMs: monotonicMs + byMs, wallMs: wallMs + byMs};
+    const due = this.timers
+      .filter(timer => timer.atMs <= this.now.monotonicMs)
+      .sort((a, b) => a.atMs - b.atMs);
+    this.timers = this.timers.filter(timer => !due.includes(timer));
+    for (const timer of due) timer.callback();
+  }
+
+  countTimers(): number {
+    return this.timers.length;
+  }
+
+  getRandom(): number {
+    return 0.5;
+  }
+
+  createId(): string {
+    return 'id';
+  }
+}
