--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -77,7 +77,7 @@
         this.isRetryWorthwhile(exchange, failure, attemptsMade, delayMs) &&
         (failure.outcome === 'not-run' || budgets.failures.tryRetry());
       if (mayRetry) await waitFor(this.system, delayMs);
-      if (!mayRetry || exchange.abandoned.aborted) {
+      if (!mayRetry || exchange.abandonment.hasHappened()) {
         const merged = mergeFailure(attemptsMade > 0, failure);
         return {kind: 'failed', failure: merged};
       }
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -72,7 +72,7 @@
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs + GRACE_MS,
       deadlineMs: getDeadlineMs(exchange),
-      abandoned: exchange.abandoned,
+      abandonment: exchange.abandonment,
       answer: exchange.answer,
       readFailure: (_status, headers) =>
         readPeerFailure(headers, candidate.member.host, exchange),
--- a/packages/daemon/test/http_attempt.test.ts
+++ b/packages/daemon/test/http_attempt.test.ts
@@ -8,6 +8,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {Pool} from 'undici';
 
+import {Abandonment} from '../src/abandonment.js';
 import type {AttemptResult, RequestBody} from '../src/exchange.js';
 import {type Attempt, sendAttempt} from '../src/http_attempt.js';
 import {getHeader} from '../src/headers.js';
@@ -23,7 +24,7 @@
 class Bench {
   readonly system = new ManualSystem();
   readonly sink = new RecordingSink();
-  readonly left = new AbortController();
+  readonly left = new Abandonment();
   readonly server: FakeServer;
   private pool: Pool | undefined;
 
@@ -52,7 +53,7 @@
       body: BODY,
       giveUpAtMs: this.system.getNow().monotonicMs + DEADLINE_MS,
       deadlineMs: DEADLINE_MS,
-      abandoned: this.left.signal,
+      abandonment: this.left,
       answer: this.sink,
       readFailure: (_status, headers) =>
         getHeader(headers, 'dottereldrift-refused') === 'not-run'
@@ -346,7 +347,7 @@
 test('the caller leaves before the request is sent: not run, and nothing is written', async t => {
   const bench = new Bench(() => {});
   const pool = await bench.start();
-  bench.left.abort();
+  bench.left.record();
   const result = await bench.send(pool);
   t.is(formatResult(result, bench.sink), 'not-run DD3022, answer none');
   t.is(bench.server.countRequests(), 0);
@@ -360,7 +361,7 @@
     socket.once('close', () => {
       hasEnded = true;
     });
-    bench.left.abort();
+    bench.left.record();
   });
   const result = await bench.send(await bench.start());
   t.is(formatResult(result, bench.sink), 'unknown DD3022, answer none');
@@ -374,7 +375,7 @@
       socket.write('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart');
   });
   bench.sink.onChunk = () => {
-    bench.left.abort();
+    bench.left.record();
   };
   const result = await bench.send(await bench.start());
   t.is(formatResult(result, bench.sink), 'answered 200, answer cut: part');
