Run a request that is not idempotent at most once across owners

Cause: an owner that took over a key ran a repeat that carried no stamp, for a missing stamp counted as new. Now a request without a record counts as new only if the records begin with the assignment, or its stamp (generation, time of first send, or a UUID of version 7) lies behind the takeover by more than the clock margin, or the retention has passed since; else it is answered unknown (DD3018).

Also found: idempotency keys of two ring keys on one owner were one and the same; a key reused for another request got the first one's answer (now 422, DD3029); a replayed answer lost repeated headers such as Set-Cookie; a request that waited for a slot was sent although the daemon had joined anew or the slice had gone.

--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -137,7 +137,10 @@
           'request-key': key ?? '',
           ...(idempotencyKey === undefined
             ? {}
-            : {'idempotency-key': idempotencyKey}),
+            : {
+                'idempotency-key': idempotencyKey,
+                'request-first-sent-unix-ms': String(Date.now()),
+              }),
         },
         body: plan.method === 'POST' ? `{"request":"${requestId}"}` : null,
         signal: AbortSignal.timeout(CLIENT_TIMEOUT_MS),
--- a/packages/daemon/src/entry_codec.ts
+++ b/packages/daemon/src/entry_codec.ts
@@ -23,6 +23,7 @@
   return create(IdempotencyEntrySchema, {
     service,
     idempotencyKey: entry.idempotencyKey,
+    fingerprint: entry.fingerprint,
     position: entry.position,
     isFinished: answer !== undefined,
     status: answer?.status ?? 0,
@@ -50,6 +51,7 @@
     : {kind: 'unknown'};
   return {
     idempotencyKey: entry.idempotencyKey,
+    fingerprint: entry.fingerprint,
     position: entry.position,
     state,
     createdAtMs: nowMs - entry.ageMs,
--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -38,6 +38,8 @@
   readonly deadlineMs: number;
   readonly abandonment: Abandonment;
   readonly answer: AnswerSink;
+  /** Looks, at the moment of the first byte, for a reason not to send after all. */
+  readonly findLateRefusal?: () => AttemptFailure | undefined;
   /** Reads a refusal from the head of an answer; undefined when the answer is for the caller. */
   readonly readFailure: (
     status: number,
@@ -102,6 +104,8 @@
     // Throwing here withdraws the request before a byte of it is written and leaves the connection
     // open; `abort` would close the connection, which is idle and sound.
     if (this.giveUpReason !== undefined) throw new Error(this.giveUpReason);
+    this.failure = this.attempt.findLateRefusal?.();
+    if (this.failure !== undefined) throw new Error(this.failure.code);
     this.controller = controller;
     this.isSent = true;
   }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -2,6 +2,7 @@
  * The owner's stage of a request: checks lease and slice, looks the idempotency key up, waits for a
  * slot, sends the request to the backend server on this host and notes how it ended.
  */
+import {getErrorText} from '@dottereldrift/core/errors.js';
 import {hashKey} from '@dottereldrift/core/ring_hash.js';
 import {
   formatMessage,
@@ -11,9 +12,7 @@
 import type {System} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
 import {
-  type EntryState,
   IdempotencyWindow,
-  type KeptAnswer,
   type WindowEntry,
 } from '@dottereldrift/limits/idempotency_window.js';
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
@@ -24,6 +23,7 @@
   Slice,
   SliceRef,
 } from '@dottereldrift/ownership/types.js';
+import {isCertainlyNew} from '@dottereldrift/routing/request_novelty.js';
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import type {AttemptResult, Exchange} from './exchange.js';
@@ -39,17 +39,21 @@
   TOKEN_HEADER,
 } from './headers.js';
 import {sendAttempt} from './http_attempt.js';
+import {RecordsClock} from './records_clock.js';
+import {answerRepeat, createRequestName, recordEnd} from './repeats.js';
 import type {LocalServer, ServerRegistry} from './server_registry.js';
 import type {SessionKeeper} from './session_keeper.js';
 import type {Limits} from './settings.js';
 
 /** Time after which a refusal that passes soon is worth another try. */
 const SHORT_RETRY_MS = 10;
-const REPEAT_RETRY_MS = 50;
+/** Time after which a full window may have room. */
+const FULL_RETRY_MS = 1_000;
 
 interface ServiceState {
-  gate: SliceGate;
-  window: IdempotencyWindow;
+  readonly gate: SliceGate;
+  readonly window: IdempotencyWindow;
+  readonly recordsClock: RecordsClock;
 }
 
 /** A request that has passed the checks. */
@@ -62,6 +66,12 @@
   readonly state: ServiceState;
 }
 
+/** What an owner needs to know of its session. */
+export type LeaseView = Pick<SessionKeeper, 'isHeld' | 'getMember' | 'getEnd'>;
+
+/** What an owner needs to know of the servers on its host. */
+export type ServerView = Pick<ServerRegistry, 'getServer' | 'isGranted'>;
+
 /** Runs requests on this host's backend servers. */
 export class Owner {
   private readonly services = new Map<ServiceName, ServiceState>();
@@ -70,14 +80,16 @@
 
   constructor(
     private readonly system: System,
-    private readonly keeper: SessionKeeper,
-    private readonly registry: ServerRegistry,
+    private readonly keeper: LeaseView,
+    private readonly registry: ServerView,
     private readonly limits: Limits,
   ) {}
 
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
-    this.getState(assignment.service).gate.applyAssignment(assignment);
+    const {gate, recordsClock} = this.getState(assignment.service);
+    gate.applyAssignment(assignment);
+    recordsClock.applyAssignment(assignment);
   }
 
   getAssignment(service: ServiceName): Assignment | undefined {
@@ -182,19 +194,37 @@
     const {idempotencyKey} = exchange;
     if (idempotencyKey === undefined || exchange.kind.idempotent)
       return this.runInSlot(admitted);
+    const {window} = state;
+    const name = createRequestName(exchange, idempotencyKey);
     const nowMs = this.system.getNow().monotonicMs;
-    const looked = state.window.startRequest(idempotencyKey, position, nowMs);
-    if (looked.kind === 'full') return fail(refuse('DD3019', REPEAT_RETRY_MS));
+    const looked = window.startRequest(name, position, nowMs);
+    if (looked.kind === 'full') return fail(refuse('DD3019', FULL_RETRY_MS));
+    if (looked.kind === 'mismatch') return fail(refuse('DD3029', 0));
     if (looked.kind === 'known') return answerRepeat(exchange, looked.state);
-    if (mayHaveRunBefore(exchange, admitted.slice)) {
-      state.window.finishRequest(idempotencyKey, {kind: 'unknown'});
+    if (!this.isNew(admitted, idempotencyKey)) {
+      window.cancelRequest(name.idempotencyKey);
       return fail({...refuse('DD3018', 0), outcome: 'unknown'});
     }
     const result = await this.runInSlot(admitted);
-    recordEnd(state.window, idempotencyKey, result);
+    recordEnd(window, name, result);
     return result;
   }
 
+  /** Tells whether a request without a record certainly did not run under an earlier owner. */
+  private isNew(admitted: Admitted, idempotencyKey: string): boolean {
+    const {exchange, slice, state} = admitted;
+    const recordsSince = slice?.recordsSince ?? 0;
+    return isCertainlyNew({
+      recordsSince,
+      seenAt: state.recordsClock.getSeenAt(recordsSince),
+      now: this.system.getNow(),
+      retentionMs: this.limits.idempotencyRetentionMs,
+      firstGeneration: exchange.firstGeneration,
+      firstSentWallMs: exchange.firstSentWallMs,
+      idempotencyKey,
+    });
+  }
+
   private runInSlot(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server} = admitted;
     return new Promise(resolve => {
@@ -216,10 +246,12 @@
             : 0,
         onRun: finish => {
           exchange.abandonment.removeListener(leave);
-          void this.sendToServer(admitted).then(result => {
-            finish(result.kind === 'answered');
-            resolve(result);
-          });
+          void this.sendToServer(admitted)
+            .catch(createDefect)
+            .then(result => {
+              finish(result.kind === 'answered');
+              resolve(result);
+            });
         },
         onRefuse: refusal => {
           exchange.abandonment.removeListener(leave);
@@ -231,7 +263,8 @@
 
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server, slice} = admitted;
-    if (!this.keeper.isHeld()) return fail(refuse('DD3016', SHORT_RETRY_MS));
+    const refusal = this.findLateRefusal(admitted);
+    if (refusal !== undefined) return fail(refusal);
     const nowMs = this.system.getNow().monotonicMs;
     const isKept =
       exchange.idempotencyKey !== undefined && !exchange.kind.idempotent;
@@ -254,12 +287,30 @@
       ),
       abandonment: exchange.abandonment,
       answer: exchange.answer,
+      findLateRefusal: () => this.findLateRefusal(admitted),
       readFailure: readServerRefusal,
       answerHeaders: {[OUTCOME_HEADER]: 'completed'},
       keepBytes: isKept ? this.limits.keptAnswerBytes : 0,
     });
   }
 
+  /**
+   * Checks again what was checked at admission: the lease may have lapsed, this daemon may have joined
+   * anew, and the slice may have gone to another owner, while the request waited.
+   */
+  private findLateRefusal(admitted: Admitted): AttemptFailure | undefined {
+    const {exchange, slice, state, position} = admitted;
+    const {service} = exchange.target;
+    const isSameRun = this.services.get(service) === state;
+    if (!this.keeper.isHeld() || !isSameRun)
+      return refuse('DD3016', SHORT_RETRY_MS);
+    if (slice === undefined) return undefined;
+    const answer = state.gate.checkPosition(position);
+    if (answer.kind === 'not-owned' || answer.slice.token !== slice.token)
+      return refuse('DD3017', 0);
+    return undefined;
+  }
+
   private createFencingHeaders(
     slice: Slice | undefined,
   ): Record<string, string> {
@@ -286,6 +337,7 @@
         maxBytes: this.limits.idempotencyBytes,
         retentionMs: this.limits.idempotencyRetentionMs,
       }),
+      recordsClock: new RecordsClock(this.system),
     };
     this.services.set(service, state);
     return state;
@@ -306,62 +358,9 @@
   return hashKey(idempotencyKey);
 }
 
-/**
- * Tells whether a request that this owner has no record of may have run under an earlier one: it was
- * first routed before the records that this owner has begin.
- */
-function mayHaveRunBefore(
-  exchange: Exchange,
-  slice: Slice | undefined,
-): boolean {
-  if (slice === undefined) return false;
-  const {firstGeneration} = exchange;
-  return firstGeneration !== undefined && firstGeneration < slice.recordsSince;
-}
-
-function answerRepeat(exchange: Exchange, state: EntryState): AttemptResult {
-  if (state.kind === 'running') {
-    return fail({...refuse('DD3020', REPEAT_RETRY_MS), outcome: 'unknown'});
-  }
-  if (state.kind === 'unknown')
-    return fail({...refuse('DD3018', 0), outcome: 'unknown'});
-  return replayAnswer(exchange, state.answer);
-}
-
-function replayAnswer(exchange: Exchange, kept: KeptAnswer): AttemptResult {
-  const headers: Record<string, string | string[]> = {
-    [OUTCOME_HEADER]: 'completed',
-  };
-  if (kept.body === undefined) {
-    return fail({...refuse('DD3027', 0), outcome: 'unknown'});
-  }
-  for (let index = 0; index + 1 < kept.headerPairs.length; index += 2) {
-    headers[kept.headerPairs[index] ?? ''] = kept.headerPairs[index + 1] ?? '';
-  }
-  exchange.answer.startAnswer(kept.status, headers);
-  exchange.answer.writeChunk(Buffer.from(kept.body));
-  exchange.answer.endAnswer({});
-  return {kind: 'answered', status: kept.status, isCut: false};
-}
-
-function recordEnd(
-  window: IdempotencyWindow,
-  key: string,
-  result: AttemptResult,
-): void {
-  if (result.kind === 'failed' && result.failure.outcome === 'not-run') {
-    window.cancelRequest(key);
-  } else if (result.kind === 'failed') {
-    window.finishRequest(key, {kind: 'unknown'});
-  } else {
-    const {status, kept} = result;
-    const answer = {
-      status,
-      headerPairs: kept?.headerPairs ?? [],
-      body: kept?.body,
-    };
-    window.finishRequest(key, {kind: 'finished', answer});
-  }
+function createDefect(error: unknown): AttemptResult {
+  const text = formatMessage('DD3099', {reason: getErrorText(error)});
+  return fail({outcome: 'unknown', code: 'DD3099', text, retryAfterMs: 0});
 }
 
 function readServerRefusal(
--- /dev/null
+++ b/packages/daemon/test/owner.test.ts
@@ -0,0 +1,374 @@
+/**
+ * The owner's stage: repeats run at most once, and nothing is sent once the lease, the run of the
+ * daemon or the slice is no longer what it was at admission.
+ */
+import type {Socket} from 'node:net';
+
+import test from 'ava';
+import {Pool} from 'undici';
+
+import type {Member} from '@dottereldrift/core/types.js';
+import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import type {RequestKind} from '@dottereldrift/manifest/types.js';
+import type {Slice} from '@dottereldrift/ownership/types.js';
+
+import {Abandonment} from '../src/abandonment.js';
+import type {AttemptResult, Exchange} from '../src/exchange.js';
+import {Owner} from '../src/owner.js';
+import type {Limits} from '../src/settings.js';
+import {FakeServer, ManualSystem, RecordingSink} from './fakes.js';
+
+const SERVICE = 'pot-view';
+const RETENTION_MS = 600_000;
+const DEADLINE_MS = 1_000;
+const LIMITS = {
+  idempotencyEntries: 3,
+  idempotencyBytes: 100_000,
+  idempotencyRetentionMs: RETENTION_MS,
+  keptAnswerBytes: 100,
+} as Limits;
+const KIND: RequestKind = {
+  name: 'write',
+  match: {},
+  idempotent: false,
+  deadlineMs: DEADLINE_MS,
+  maxAttempts: 3,
+  priority: 5,
+  expectedServiceMs: 10,
+  objective: 0.99,
+};
+const ANSWER =
+  'HTTP/1.1 201 Created\r\nset-cookie: a=1\r\nset-cookie: b=2\r\ncontent-length: 4\r\n\r\npaid';
+
+interface Sent {
+  readonly result: AttemptResult;
+  readonly sink: RecordingSink;
+}
+
+class Bench {
+  readonly system = new ManualSystem();
+  readonly server: FakeServer;
+  member: Member = {host: 'a', incarnation: '1'};
+  isHeld = true;
+  owner!: Owner;
+  private pool!: Pool;
+  private generation = 0;
+
+  constructor(script: (socket: Socket, text: string) => void) {
+    this.server = new FakeServer(script);
+  }
+
+  async start(slots = 4): Promise<void> {
+    const url = await this.server.start();
+    this.pool = new Pool(url, {connections: 8});
+    const policy = new FifoPolicy(this.system, slots, 10);
+    const info = {
+      service: SERVICE,
+      address: {ip: '127.0.0.1', port: 1},
+      slots,
+      connections: 9,
+      isLeaving: false,
+    };
+    const local = {info, pool: this.pool, policy};
+    this.owner = new Owner(
+      this.system,
+      {
+        isHeld: () => this.isHeld,
+        getMember: () => this.member,
+        getEnd: () => ({monotonicMs: 5_000, wallMs: 1_700_000_005_000}),
+      },
+      {getServer: () => local, isGranted: () => true},
+      LIMITS,
+    );
+    this.applySlice({});
+  }
+
+  /** Gives the one slice to this daemon's member under a new token. */
+  applySlice(change: Partial<Slice>): void {
+    this.generation += 1;
+    const slice: Slice = {
+      start: 0,
+      owner: this.member,
+      token: this.generation,
+      nextOwner: undefined,
+      recordsSince: 0,
+      ...change,
+    };
+    this.owner.applyAssignment({
+      service: SERVICE,
+      generation: this.generation,
+      slices: [slice],
+      writer: this.member,
+    });
+  }
+
+  async send(change: Partial<Exchange> = {}): Promise<Sent> {
+    const sink = new RecordingSink();
+    const now = this.system.getNow();
+    const result = await this.owner.handle({
+      method: 'POST',
+      target: {service: SERVICE, key: 'pot-1', path: '/pay'},
+      rules: {
+        division: 'byKey',
+        fencing: 'checked',
+        maxRunMs: 1_000,
+        slicesPerServer: 1,
+        maxQueued: 10,
+        kinds: [KIND],
+      },
+      kind: KIND,
+      headers: {'request-id': 'r'},
+      body: {kind: 'buffered', bytes: Buffer.from('{}')},
+      receivedAt: now,
+      deadlineAtMs: now.monotonicMs + DEADLINE_MS,
+      caller: '127.0.0.1',
+      idempotencyKey: 'once',
+      firstGeneration: undefined,
+      firstSentWallMs: undefined,
+      answer: sink,
+      abandonment: new Abandonment(),
+      ...change,
+    });
+    return {result, sink};
+  }
+
+  async waitForRequests(count: number): Promise<void> {
+    while (this.server.countRequests() < count)
+      await new Promise(resolve => setImmediate(resolve));
+  }
+
+  async stop(): Promise<void> {
+    await this.pool.destroy();
+    await this.server.stop();
+  }
+}
+
+function answerAlways(socket: Socket, text: string): void {
+  if (text.endsWith('{}')) socket.write(ANSWER);
+}
+
+function format({result, sink}: Sent): string {
+  if (result.kind === 'answered')
+    return `${result.status} ${sink.state} ${sink.body}`;
+  return `${result.failure.outcome} ${result.failure.code}`;
+}
+
+test('a repeat gets the kept answer, every header value included, and does not run', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start();
+  const first = await bench.send();
+  const second = await bench.send();
+  t.is(format(first), '201 whole paid');
+  t.is(format(second), '201 whole paid');
+  t.deepEqual(second.sink.headers, {...first.sink.headers});
+  t.deepEqual(second.sink.headers['set-cookie'], ['a=1', 'b=2']);
+  t.is(bench.server.countRequests(), 1);
+  await bench.stop();
+});
+
+test('a key that was used for another request is refused; one of another ring key is not', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start();
+  await bench.send();
+  const bytes = Buffer.from('[]{}');
+  const otherBody = await bench.send({body: {kind: 'buffered', bytes}});
+  const otherPath = await bench.send({
+    target: {service: SERVICE, key: 'pot-1', path: '/refund'},
+  });
+  const otherKey = await bench.send({
+    target: {service: SERVICE, key: 'pot-2', path: '/pay'},
+  });
+  t.deepEqual([otherBody, otherPath, otherKey].map(format), [
+    'not-run DD3029',
+    'not-run DD3029',
+    '201 whole paid',
+  ]);
+  await bench.stop();
+});
+
+test('a repeat of a running request is told so, and a full window refuses', async t => {
+  const bench = new Bench(() => {});
+  await bench.start();
+  const running = ['a', 'b', 'c'].map(idempotencyKey =>
+    bench.send({idempotencyKey}),
+  );
+  await bench.waitForRequests(3);
+  t.is(format(await bench.send({idempotencyKey: 'a'})), 'unknown DD3020');
+  t.is(format(await bench.send({idempotencyKey: 'd'})), 'not-run DD3019');
+  bench.system.shift(DEADLINE_MS);
+  for (const sent of await Promise.all(running))
+    t.is(format(sent), 'unknown DD3007');
+  t.is(format(await bench.send({idempotencyKey: 'a'})), 'unknown DD3018');
+  t.is(bench.server.countRequests(), 3);
+  await bench.stop();
+});
+
+test('after a refusal the request is forgotten and may run; after a cut answer it may not', async t => {
+  let requests = 0;
+  const bench = new Bench(socket => {
+    requests += 1;
+    if (requests === 1) {
+      socket.end(
+        'HTTP/1.1 503 X\r\ndottereldrift-refused: not-run\r\ncontent-length: 0\r\n\r\n',
+      );
+    } else {
+      socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf');
+    }
+  });
+  await bench.start();
+  t.is(format(await bench.send()), 'not-run DD3010');
+  t.is(format(await bench.send()), '200 cut half');
+  t.is(format(await bench.send()), 'unknown DD3027');
+  t.is(requests, 2);
+  await bench.stop();
+});
+
+test('an answer too large to keep is told as run, not run again', async t => {
+  const bench = new Bench((socket, text) => {
+    if (text.endsWith('{}'))
+      socket.write(
+        `HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n${'x'.repeat(101)}`,
+      );
+  });
+  await bench.start();
+  await bench.send();
+  t.is(format(await bench.send()), 'unknown DD3027');
+  t.is(bench.server.countRequests(), 1);
+  await bench.stop();
+});
+
+test('after a takeover only what is certainly new runs', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start();
+  bench.applySlice({recordsSince: 2, token: 2});
+  const tookOverAtMs = bench.system.getNow().wallMs;
+  bench.system.shift(10_000);
+  const sent = [
+    await bench.send({idempotencyKey: 'a'}),
+    await bench.send({idempotencyKey: 'a', firstGeneration: 1}),
+    await bench.send({idempotencyKey: 'a', firstSentWallMs: tookOverAtMs}),
+    await bench.send({idempotencyKey: 'a', firstGeneration: 2}),
+    await bench.send({idempotencyKey: 'a'}),
+    await bench.send({
+      idempotencyKey: 'b',
+      firstSentWallMs: tookOverAtMs + 9_000,
+    }),
+  ];
+  t.deepEqual(sent.map(format), [
+    'unknown DD3018',
+    'unknown DD3018',
+    'unknown DD3018',
+    '201 whole paid',
+    '201 whole paid',
+    '201 whole paid',
+  ]);
+  bench.applySlice({recordsSince: 2, token: 3});
+  bench.system.shift(RETENTION_MS - 10_000);
+  t.is(format(await bench.send({idempotencyKey: 'c'})), '201 whole paid');
+  t.is(bench.server.countRequests(), 3);
+  await bench.stop();
+});
+
+test('records that a planned move handed over are known to the new owner', async t => {
+  const from = new Bench(answerAlways);
+  const to = new Bench(answerAlways);
+  await from.start();
+  await to.start();
+  await from.send();
+  const entries = from.owner.getEntries(SERVICE, [{start: 0, token: 1}]);
+  t.true(to.owner.tryAbsorbEntries(SERVICE, entries));
+  t.is(format(await to.send()), '201 whole paid');
+  t.is(to.server.countRequests(), 0);
+  await from.stop();
+  await to.stop();
+});
+
+for (const [name, change, expected] of [
+  [
+    'the lease lapses',
+    (bench: Bench) => {
+      bench.isHeld = false;
+    },
+    'not-run DD3016',
+  ],
+  [
+    'the daemon joins anew',
+    (bench: Bench) => {
+      bench.member = {host: 'a', incarnation: '2'};
+      bench.owner.resetMember();
+      bench.applySlice({});
+    },
+    'not-run DD3016',
+  ],
+  [
+    'the slice goes to another owner',
+    (bench: Bench) => {
+      bench.applySlice({owner: {host: 'b', incarnation: '1'}});
+    },
+    'not-run DD3017',
+  ],
+] as const) {
+  test(`nothing is sent of a request that waits while ${name}`, async t => {
+    let answerFirst = () => {};
+    const bench = new Bench(socket => {
+      answerFirst = () => socket.write(ANSWER);
+    });
+    await bench.start(1);
+    const first = bench.send({idempotencyKey: 'a'});
+    await bench.waitForRequests(1);
+    const second = bench.send({idempotencyKey: 'b'});
+    change(bench);
+    answerFirst();
+    t.is(format(await first), '201 whole paid');
+    t.is(format(await second), expected);
+    t.is(bench.server.countRequests(), 1);
+    await bench.stop();
+  });
+}
+
+test('the server learns the time left, the slice, its token and the end of the lease', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start();
+  await bench.send();
+  const lines = (bench.server.received[0] ?? '').split('\r\n');
+  t.deepEqual(lines.filter(line => line.startsWith('dottereldrift-')).sort(), [
+    'dottereldrift-lease-end-monotonic-ms: 5000',
+    'dottereldrift-lease-end-unix-ms: 1700000005000',
+    'dottereldrift-remaining-ms: 1000',
+    'dottereldrift-slice: 0',
+    'dottereldrift-token: 1',
+  ]);
+  await bench.stop();
+});
+
+test('a caller that leaves frees the slot, and the server sees the end of the connection', async t => {
+  const closed: string[] = [];
+  const bench = new Bench((socket, text) => {
+    if (!text.endsWith('{}')) return;
+    if (bench.server.sockets.length === 1)
+      socket.once('close', () => closed.push('closed'));
+    else socket.write(ANSWER);
+  });
+  await bench.start(1);
+  const abandonment = new Abandonment();
+  const first = bench.send({idempotencyKey: 'a', abandonment});
+  await bench.waitForRequests(1);
+  const second = bench.send({idempotencyKey: 'b'});
+  abandonment.record();
+  t.is(format(await first), 'unknown DD3022');
+  t.is(format(await second), '201 whole paid');
+  while (closed.length === 0)
+    await new Promise(resolve => setImmediate(resolve));
+  t.is(format(await bench.send({idempotencyKey: 'a'})), 'unknown DD3018');
+  await bench.stop();
+});
+
+test('a request that cannot be written as HTTP is not run, and frees the slot', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start(1);
+  const broken = {'bad header name': 'x'};
+  const sent = await bench.send({idempotencyKey: 'a', headers: broken});
+  t.is(format(sent), 'not-run DD3008');
+  t.is(format(await bench.send({idempotencyKey: 'b'})), '201 whole paid');
+  await bench.stop();
+});
--- a/packages/limits/src/idempotency_window.ts
+++ b/packages/limits/src/idempotency_window.ts
@@ -18,9 +18,15 @@
   | {readonly kind: 'unknown'}
   | {readonly kind: 'finished'; readonly answer: KeptAnswer};
 
-/** One key of the window. */
-export interface WindowEntry {
+/** By what repeats of a request are known. */
+export interface RequestName {
   readonly idempotencyKey: string;
+  /** Equal for requests that are the same but for their time. */
+  readonly fingerprint: string;
+}
+
+/** One key of the window. */
+export interface WindowEntry extends RequestName {
   /** Position on the ring of the request's slice key. */
   readonly position: number;
   readonly state: EntryState;
@@ -32,6 +38,7 @@
 export type WindowAnswer =
   | {readonly kind: 'run'}
   | {readonly kind: 'full'}
+  | {readonly kind: 'mismatch'}
   | {readonly kind: 'known'; readonly state: EntryState};
 
 /** Bounds of a window. */
@@ -53,15 +60,26 @@
 
   /** Looks a key up and, if it is new and there is room, notes it as running. */
   startRequest(
-    idempotencyKey: string,
+    name: RequestName,
     position: number,
     nowMs: number,
   ): WindowAnswer {
     this.dropExpired(nowMs);
+    const {idempotencyKey, fingerprint} = name;
     const present = this.entries.get(idempotencyKey);
-    if (present !== undefined) return {kind: 'known', state: present.state};
+    if (present !== undefined) {
+      return present.fingerprint === fingerprint
+        ? {kind: 'known', state: present.state}
+        : {kind: 'mismatch'};
+    }
     const state = {kind: 'running'} as const;
-    const entry = {idempotencyKey, position, state, createdAtMs: nowMs};
+    const entry = {
+      idempotencyKey,
+      fingerprint,
+      position,
+      state,
+      createdAtMs: nowMs,
+    };
     const isFull =
       this.entries.size >= this.limits.maxEntries ||
       this.bytes + getEntryBytes(entry) > this.limits.maxBytes;
