--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,6 +24,7 @@
 import type {AttemptResult, Exchange} from './exchange.js';
 import {ExchangeFactory} from './exchange_factory.js';
 import {Forwarder} from './forwarder.js';
+import {GaugeReporter} from './gauge_reporter.js';
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
@@ -73,6 +74,8 @@
   private readonly entry: Entry;
   private readonly coordinator: Coordinator;
   private readonly report: BurnReport;
+  private readonly status: StatusReader;
+  private readonly gauges: GaugeReporter;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
 
@@ -153,6 +156,14 @@
       settings.host,
     );
     this.report = new BurnReport(system);
+    this.status = new StatusReader(
+      system,
+      this.view,
+      this.keeper,
+      this.registry,
+      this.owner,
+    );
+    this.gauges = new GaugeReporter(system, this.metrics, this.status);
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -182,6 +193,7 @@
     });
     this.witnesses.start();
     this.registry.start();
+    this.gauges.start();
     this.running = [this.view.run(), this.keeper.run(), this.coordinator.run()];
     this.log.writeInfo('The daemon has started.', {host: this.settings.host});
   }
@@ -196,6 +208,7 @@
       SHUTDOWN_LIMIT_MS,
     );
     this.coordinator.stop();
+    this.gauges.stop();
     this.witnesses.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
     await this.keeper.stop();
@@ -237,13 +250,7 @@
     addServerRoutes(servers, settings.serverAddress.ip, this.registry);
     const operators = createListener(limits);
     addJsonParser(operators);
-    const status = new StatusReader(
-      this.system,
-      this.view,
-      this.keeper,
-      this.registry,
-      this.owner,
-    );
+    const {status} = this;
     const {store, view, takeover, report} = this;
     addOperatorRoutes(operators, settings.operatorKey, {
       store,
