--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -273,16 +273,18 @@
         from,
       );
     } else if (body.case === 'heartbeatAnswer') {
-      const {witnessHost, witnessIncarnation, sequence, fenced} = body.value;
+      const {host, incarnation, sequence, fenced} = body.value;
+      const {witnessHost, witnessIncarnation} = body.value;
       const witness = {host: witnessHost, incarnation: witnessIncarnation};
-      this.keeper.receiveAnswer(witness, Number(sequence), fenced);
+      const target = {host, incarnation};
+      this.keeper.receiveAnswer(target, witness, Number(sequence), fenced);
     }
   }
 
   private applyView(): void {
     for (const {assignment} of this.view.getAssignments())
       this.owner.applyAssignment(assignment);
-    this.witnesses.dropEnded();
+    this.witnesses.fenceEnded();
     this.registry.sendGrants();
   }
 
--- a/packages/daemon/src/datagram_channel.ts
+++ b/packages/daemon/src/datagram_channel.ts
@@ -30,6 +30,9 @@
 
 /** An answer to be sent. */
 export interface OutgoingAnswer {
+  /** The member whose heartbeat is answered. */
+  readonly host: string;
+  readonly incarnation: string;
   readonly witnessHost: string;
   readonly witnessIncarnation: string;
   readonly sequence: number;
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -1,9 +1,6 @@
 /**
- * Keeps this daemon's session in the store and its lease with its witnesses.
- *
- * One write of the session is under way at a time. A write whose answer was lost is settled by the
- * next conditional update at the same version, never by reading the old version back; until then the
- * lease needs a majority of every witness set that may be in force.
+ * Keeps this daemon's session in the store and its lease with its witnesses. What is written and what
+ * an answer means is decided by the state machine of `session_writer.ts`; this class carries it out.
  */
 import * as E from 'fp-ts/lib/Either.js';
 
@@ -18,29 +15,35 @@
 import {
   applyAnswer,
   createLeaseState,
-  finishSetChange,
   getLeaseEnd,
   getWitnesses,
   isFencedForGood,
   isLeaseHeld,
   type LeaseState,
-  startSetChange,
+  setWitnessSets,
 } from '@dottereldrift/membership/lease_holder.js';
 import {
   encodeSession,
   getSessionKey,
   parseSession,
 } from '@dottereldrift/membership/session_record.js';
-import type {ServerInfo, Session} from '@dottereldrift/membership/types.js';
 import {
-  chooseWitnesses,
-  isSameSet,
-} from '@dottereldrift/membership/witness_choice.js';
+  applyWriterEvent,
+  createWriterState,
+  getActiveSets,
+  type SessionWrite,
+  type WriteAnswer,
+  type WriterEffect,
+  type WriterEvent,
+  type WriterState,
+} from '@dottereldrift/membership/session_writer.js';
 import type {
-  ObjectStore,
-  StoreFailure,
-  StoredObject,
-} from '@dottereldrift/store/types.js';
+  ServerInfo,
+  Session,
+  VersionedSession,
+} from '@dottereldrift/membership/types.js';
+import {chooseWitnesses} from '@dottereldrift/membership/witness_choice.js';
+import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 
 import type {DatagramChannel} from './datagram_channel.js';
 import type {StoreView} from './store_view.js';
@@ -48,6 +51,8 @@
 const CHECK_INTERVAL_MS = 250;
 const WRITE_RETRY_DELAY_MS = 300;
 const SETTLE_DELAY_MS = 1_000;
+/** Step by which the lease end must move before listeners are told. */
+const RENEWAL_STEP_MS = HEARTBEAT_INTERVAL_MS / 2;
 /** Sequences whose send times are kept; more than are sent within one lease. */
 const KEPT_SEQUENCES = 64;
 
@@ -67,11 +72,12 @@
 export class SessionKeeper {
   private member: Member;
   private lease: LeaseState;
-  private inForce: Session | undefined;
-  private version = 0;
+  private writer: WriterState;
   private servers: readonly ServerInfo[] = [];
   private isLeaving = false;
   private isWriting = false;
+  private isEnding = false;
+  private lastEnd: Instant = {monotonicMs: -Infinity, wallMs: -Infinity};
   private sequence = 0;
   private readonly sentAt = new Map<number, Instant>();
   private isStopped = false;
@@ -90,6 +96,7 @@
   ) {
     this.member = {host: identity.host, incarnation: system.createId()};
     this.lease = createLeaseState(this.member, [this.member]);
+    this.writer = createWriterState(this.member);
   }
 
   /** Returns this run of the daemon; it changes after the present one was fenced. */
@@ -100,7 +107,8 @@
   /** Tells whether requests may be run now. */
   isHeld(): boolean {
     return (
-      this.inForce !== undefined &&
+      this.getSession() !== undefined &&
+      !this.isEnding &&
       isLeaseHeld(this.lease, this.system.getNow())
     );
   }
@@ -111,7 +119,7 @@
   }
 
   getSession(): Session | undefined {
-    return this.inForce;
+    return this.writer.inForce?.session;
   }
 
   /** Calls back after this daemon has become another member. */
@@ -149,24 +157,37 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     while (this.isWriting) await waitFor(this.system, CHECK_INTERVAL_MS / 10);
-    if (this.inForce === undefined) return;
-    const ended = {...this.inForce, isEnded: true, servers: []};
-    this.inForce = undefined;
-    await this.store.updateObject(
-      getSessionKey(this.identity.host),
-      this.version,
-      encodeSession(ended),
-    )();
+    const {inForce} = this.writer;
+    if (inForce === undefined) return;
+    this.isEnding = true;
+    const ended = {...inForce.session, isEnded: true, servers: []};
+    const key = getSessionKey(this.identity.host);
+    await this.store.updateObject(key, inForce.version, encodeSession(ended))();
   }
 
-  /** Applies a witness's answer to a heartbeat. */
-  receiveAnswer(witness: Member, sequence: number, isFenced: boolean): void {
+  /** Applies a witness's answer to a heartbeat of a member that this daemon is or was. */
+  receiveAnswer(
+    target: Member,
+    witness: Member,
+    sequence: number,
+    isFenced: boolean,
+  ): void {
     const sentAt = this.sentAt.get(sequence);
-    if (sentAt === undefined) return;
+    if (sentAt === undefined || !isSameMember(target, this.member)) return;
     this.lease = applyAnswer(this.lease, witness, sentAt, isFenced);
     if (isFencedForGood(this.lease))
       this.joinAgain('its witnesses have fenced it');
-    else for (const listener of this.renewalListeners) listener();
+    else this.notifyRenewal();
+  }
+
+  private notifyRenewal(): void {
+    const end = this.getEnd();
+    const isEarly =
+      end.monotonicMs - this.lastEnd.monotonicMs < RENEWAL_STEP_MS &&
+      end.wallMs - this.lastEnd.wallMs < RENEWAL_STEP_MS;
+    if (isEarly) return;
+    this.lastEnd = end;
+    for (const listener of this.renewalListeners) listener();
   }
 
   private startHeartbeats(): void {
@@ -198,60 +219,71 @@
     if (this.isWriting || this.isStopped || !this.view.isLoaded()) return;
     this.isWriting = true;
     try {
-      if (this.inForce === undefined) await this.startSession();
-      else await this.updateSession(this.inForce);
+      const found = this.view.getSession(this.identity.host);
+      const wanted = this.createSession(this.chooseWitnesses());
+      await this.applyEvent({kind: 'check', wanted, found});
     } finally {
       this.isWriting = false;
     }
   }
 
-  private async startSession(): Promise<void> {
-    const present = this.view.getSession(this.identity.host);
-    if (present !== undefined && !present.session.isEnded) {
-      if (isSameMember(present.session.member, this.member)) {
-        this.adoptSession(present.session, present.version);
-        return;
-      }
-      const isOver = await this.ender.tryEnd(present.session, present.version);
-      if (!isOver) await waitFor(this.system, WRITE_RETRY_DELAY_MS);
-      return;
+  private chooseWitnesses(): readonly Member[] {
+    const present = this.getSession();
+    const nowMs = this.system.getNow().monotonicMs;
+    if (
+      present !== undefined &&
+      nowMs - this.lastSetChangeMs < SETTLE_DELAY_MS
+    ) {
+      return present.witnesses;
     }
-    const witnesses = chooseWitnesses(
-      {...this.identity, member: this.member},
-      this.view.getLiveSessions(),
-      [],
-    );
-    this.lease = createLeaseState(this.member, witnesses);
-    await this.writeSession(
-      this.createSession(witnesses),
-      present?.version ?? 0,
-    );
+    const self = {...this.identity, member: this.member};
+    const live = this.view.getLiveSessions();
+    return chooseWitnesses(self, live, present?.witnesses ?? []);
   }
 
-  private async updateSession(inForce: Session): Promise<void> {
-    const known = this.view.getSession(this.identity.host);
-    if (known !== undefined && known.version > this.version) {
-      this.adoptOrRejoin(known.session, known.version);
-      return;
+  private async applyEvent(event: WriterEvent): Promise<void> {
+    const isFirst = this.writer.inForce === undefined;
+    const setsBefore = this.lease.witnessSets.length;
+    const step = applyWriterEvent(this.writer, event);
+    this.writer = step.state;
+    this.applyWitnessSets(setsBefore);
+    if (isFirst && step.state.inForce !== undefined) {
+      this.log.writeInfo('The session is in force.', {
+        member: formatMember(this.member),
+      });
     }
-    const witnesses = this.chooseNextWitnesses(inForce);
-    const next = this.createSession(witnesses);
-    const isUnsettled = this.lease.witnessSets.length > 1;
-    if (!isUnsettled && isSameSession(inForce, next)) return;
-    if (!isSameSet(inForce.witnesses, witnesses)) {
+    await this.runEffect(step.effect);
+  }
+
+  private applyWitnessSets(setsBefore: number): void {
+    const sets = getActiveSets(this.writer);
+    if (sets.length === 0) return;
+    this.lease = setWitnessSets(this.lease, sets);
+    if (sets.length > setsBefore) {
       this.lastSetChangeMs = this.system.getNow().monotonicMs;
-      this.lease = startSetChange(this.lease, witnesses);
-      this.sendHeartbeats();
     }
-    await this.writeSession(next, this.version);
   }
 
-  private chooseNextWitnesses(inForce: Session): readonly Member[] {
-    const sinceChangeMs =
-      this.system.getNow().monotonicMs - this.lastSetChangeMs;
-    if (sinceChangeMs < SETTLE_DELAY_MS) return inForce.witnesses;
-    const live = this.view.getLiveSessions();
-    return chooseWitnesses(inForce, live, inForce.witnesses);
+  private async runEffect(effect: WriterEffect): Promise<void> {
+    switch (effect.kind) {
+      case 'none':
+        return;
+      case 'write':
+        this.sendHeartbeats();
+        return this.writeSession(effect.write);
+      case 'read':
+        return this.readSession();
+      case 'rejoin':
+        this.joinAgain('its session was ended');
+        return;
+      case 'end-earlier':
+        return this.endEarlier(effect.earlier);
+    }
+  }
+
+  private async endEarlier(earlier: VersionedSession): Promise<void> {
+    const isOver = await this.ender.tryEnd(earlier.session, earlier.version);
+    if (!isOver) await waitFor(this.system, WRITE_RETRY_DELAY_MS);
   }
 
   private createSession(witnesses: readonly Member[]): Session {
@@ -269,67 +301,35 @@
     };
   }
 
-  private async writeSession(
-    session: Session,
-    expectedVersion: number,
-  ): Promise<void> {
+  private async writeSession(write: SessionWrite): Promise<void> {
     const key = getSessionKey(this.identity.host);
-    const value = encodeSession(session);
+    const value = encodeSession(write.session);
     const written = await this.store.updateObject(
       key,
-      expectedVersion,
+      write.expectedVersion,
       value,
     )();
-    if (!isSameMember(session.member, this.member)) return;
+    const answer = getWriteAnswer(written);
+    await this.applyEvent({kind: 'answered', write, answer});
     if (E.isRight(written)) {
-      this.adoptSession(session, written.right);
       this.view.applyObject({key, version: written.right, value});
-    } else {
-      await this.handleFailedWrite(written.left);
-    }
-  }
-
-  private async handleFailedWrite(failure: StoreFailure): Promise<void> {
-    if (failure.kind !== 'conflict') {
+    } else if (written.left.kind !== 'conflict') {
       this.log.writeWarning('The session was not written.', {
-        reason: failure.text,
+        reason: written.left.text,
       });
       await waitFor(this.system, WRITE_RETRY_DELAY_MS);
-      return;
     }
+  }
+
+  private async readSession(): Promise<void> {
     const read = await this.store.getObject(
       getSessionKey(this.identity.host),
     )();
     if (E.isLeft(read) || read.right === undefined) return;
-    this.settleConflict(read.right);
-  }
-
-  private settleConflict(found: StoredObject): void {
-    this.view.applyObject(found);
-    if (this.inForce === undefined) return;
-    if (found.version > this.version) {
-      this.adoptOrRejoin(parseSession(found.value), found.version);
-    }
-  }
-
-  private adoptOrRejoin(session: Session, version: number): void {
-    const isOurs =
-      isSameMember(session.member, this.member) && !session.isEnded;
-    if (isOurs) this.adoptSession(session, version);
-    else this.joinAgain('its session was ended');
-  }
-
-  private adoptSession(session: Session, version: number): void {
-    const isFirst = this.inForce === undefined;
-    this.inForce = session;
-    this.version = version;
-    this.lease = finishSetChange(this.lease, session.witnesses);
-    if (isFirst) {
-      this.log.writeInfo('The session is in force.', {
-        member: formatMember(this.member),
-      });
-      this.sendHeartbeats();
-    }
+    this.view.applyObject(read.right);
+    const {version, value} = read.right;
+    const found = {session: parseSession(value), version};
+    await this.applyEvent({kind: 'seen', found});
   }
 
   private joinAgain(reason: string): void {
@@ -342,8 +342,8 @@
       incarnation: this.system.createId(),
     };
     this.lease = createLeaseState(this.member, [this.member]);
-    this.inForce = undefined;
-    this.version = 0;
+    this.writer = createWriterState(this.member);
+    this.lastEnd = {monotonicMs: -Infinity, wallMs: -Infinity};
     this.sentAt.clear();
     for (const listener of this.rejoinListeners) listener();
   }
@@ -352,6 +352,9 @@
 /** Time after which grants of an incarnation that is gone have lapsed on this host. */
 export const EARLIER_GRANTS_LAPSE_MS = LEASE_DURATION_MS;
 
-function isSameSession(a: Session, b: Session): boolean {
-  return Buffer.from(encodeSession(a)).equals(Buffer.from(encodeSession(b)));
+function getWriteAnswer(written: E.Either<StoreFailure, number>): WriteAnswer {
+  if (E.isRight(written)) return {kind: 'written', version: written.right};
+  const {kind} = written.left;
+  if (kind === 'conflict' || kind === 'unknown') return {kind};
+  return {kind: 'no-effect'};
 }
--- a/packages/daemon/src/witness_keeper.ts
+++ b/packages/daemon/src/witness_keeper.ts
@@ -9,9 +9,9 @@
 import {TAKEOVER_STAGGER_MS} from '@dottereldrift/membership/constants.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import {
+  applyEnd,
   applyFence,
   applyHeartbeat,
-  forgetMember,
   isLapsed,
   type WitnessState,
 } from '@dottereldrift/membership/witness.js';
@@ -46,6 +46,7 @@
     this.state = step.state;
     const self = this.getSelf();
     this.channel.sendAnswer(from, {
+      ...member,
       witnessHost: self.host,
       witnessIncarnation: self.incarnation,
       sequence,
@@ -75,11 +76,11 @@
     this.isStopped = true;
   }
 
-  /** Forgets the members that have ended. */
-  dropEnded(): void {
+  /** Refuses for good the members that were heard here and are known to have ended. */
+  fenceEnded(): void {
     for (const record of this.state.values()) {
-      if (this.view.isEnded(record.member))
-        this.state = forgetMember(this.state, record.member);
+      if (!record.isFenced && this.hasEnded(record.member))
+        this.state = applyEnd(this.state, record.member);
     }
     for (const name of this.firstSeen.keys()) {
       const host = name.slice(0, name.lastIndexOf('#'));
@@ -95,6 +96,16 @@
     }
   }
 
+  /** A member that heartbeats before its session is written has not ended. */
+  private hasEnded(member: Member): boolean {
+    const session = this.view.getSession(member.host)?.session;
+    return (
+      session !== undefined &&
+      session.isEnded &&
+      isSameMember(session.member, member)
+    );
+  }
+
   private checkLeases(): void {
     const now = this.system.getNow();
     for (const session of this.view.getLiveSessions()) {
--- a/packages/membership/src/lease_holder.ts
+++ b/packages/membership/src/lease_holder.ts
@@ -13,7 +13,7 @@
 /** State of a lease at its holder. */
 export interface LeaseState {
   readonly member: Member;
-  /** One set, or two while a change is under way. */
+  /** One set, or two while the outcome of a change is unknown. */
   readonly witnessSets: ReadonlyArray<readonly Member[]>;
   /** For each witness, when the latest heartbeat that it answered was sent. */
   readonly answeredAt: ReadonlyMap<string, Instant>;
@@ -50,20 +50,12 @@
   return {...state, answeredAt: new Map(state.answeredAt).set(name, sentAt)};
 }
 
-/** Makes a second set count beside the present one, before its write is sent. */
-export function startSetChange(
+/** Makes the witness sets that may be in force count, a majority of each. */
+export function setWitnessSets(
   state: LeaseState,
-  next: readonly Member[],
+  witnessSets: ReadonlyArray<readonly Member[]>,
 ): LeaseState {
-  return {...state, witnessSets: [...state.witnessSets, next]};
-}
-
-/** Keeps one set only, once the store has shown which one is in force. */
-export function finishSetChange(
-  state: LeaseState,
-  inForce: readonly Member[],
-): LeaseState {
-  return {...state, witnessSets: [inForce]};
+  return {...state, witnessSets};
 }
 
 /** Returns every witness of every active set, once each. */
--- a/packages/membership/src/witness.ts
+++ b/packages/membership/src/witness.ts
@@ -53,14 +53,14 @@
   return {state: new Map(state).set(getKey(member), next), isGranted: true};
 }
 
-/** Forgets an incarnation that has ended. */
-export function forgetMember(
-  state: WitnessState,
-  member: Member,
-): WitnessState {
-  const next = new Map(state);
-  next.delete(getKey(member));
-  return next;
+/**
+ * Refuses an incarnation that has ended. Its record is kept: a holder that was paused and does not
+ * know of its end may ask for a renewal at any later time.
+ */
+export function applyEnd(state: WitnessState, member: Member): WitnessState {
+  const heardAt = state.get(getKey(member))?.heardAt;
+  const next = {member, heardAt, isFenced: true};
+  return new Map(state).set(getKey(member), next);
 }
 
 /** Tells whether a lease renewed at an instant has lapsed by now, by the witness's monotonic clock. */
--- a/packages/membership/src/witness_choice.ts
+++ b/packages/membership/src/witness_choice.ts
@@ -26,7 +26,11 @@
     present.some(old => isSameMember(old, other.member)),
   );
   const ranked = rankCandidates(self.member, candidates);
-  const chosen = chooseSpread(kept.slice(0, size), ranked, size);
+  const chosen = chooseSpread(
+    filterSpread(kept, candidates, size),
+    ranked,
+    size,
+  );
   return chosen.map(session => session.member);
 }
 
@@ -70,6 +74,24 @@
   return [...candidates].sort((a, b) => rank(a) - rank(b));
 }
 
+/**
+ * Keeps no more witnesses in one data centre than an even spread has, so that the loss of a data
+ * centre leaves a majority of the set.
+ */
+function filterSpread(
+  kept: readonly Session[],
+  candidates: readonly Session[],
+  size: number,
+): readonly Session[] {
+  const centres = new Set(candidates.map(session => session.dataCentre));
+  const limit = Math.ceil(size / Math.max(1, centres.size));
+  const isWithinLimit = (session: Session, index: number) =>
+    kept
+      .slice(0, index)
+      .filter(other => other.dataCentre === session.dataCentre).length < limit;
+  return kept.filter(isWithinLimit).slice(0, size);
+}
+
 /** Fills a set up to its size, each time from the data centre least present in it. */
 function chooseSpread(
   kept: readonly Session[],
--- a/packages/membership/test/lease_holder.test.ts
+++ b/packages/membership/test/lease_holder.test.ts
@@ -7,11 +7,10 @@
 import {
   applyAnswer,
   createLeaseState,
-  finishSetChange,
   isFencedForGood,
   isLeaseHeld,
   type LeaseState,
-  startSetChange,
+  setWitnessSets,
 } from '../src/lease_holder.js';
 
 const SELF = {host: 'h0', incarnation: 'a'};
@@ -50,9 +49,10 @@
 
 test('two witness sets both need a majority', t => {
   const next = [{host: 'h4', incarnation: 'a'}];
-  const changing = startSetChange(createHeldState(), next);
+  const changing = setWitnessSets(createHeldState(), [WITNESSES, next]);
   t.false(isLeaseHeld(changing, createInstant(1)));
-  t.true(isLeaseHeld(finishSetChange(changing, WITNESSES), createInstant(1)));
+  const settled = setWitnessSets(changing, [WITNESSES]);
+  t.true(isLeaseHeld(settled, createInstant(1)));
 });
 
 test('a member fenced by a majority never holds its lease again', t => {
--- /dev/null
+++ b/packages/membership/test/session_writer.test.ts
@@ -0,0 +1,139 @@
+/**
+ * Tests of what a member writes of its session and what the answers mean.
+ */
+import test from 'ava';
+
+import {
+  applyWriterEvent,
+  createWriterState,
+  getActiveSets,
+  type WriterEvent,
+  type WriterState,
+  type WriterStep,
+} from '../src/session_writer.js';
+import type {Session} from '../src/types.js';
+
+const SELF = {host: 'h0', incarnation: 'a'};
+const EARLIER = {host: 'h0', incarnation: 'before'};
+const SET = createSet('h1', 'h2', 'h3');
+const NEXT_SET = createSet('h2', 'h3', 'h4');
+const THIRD_SET = createSet('h3', 'h4', 'h5');
+
+function createSet(...hosts: readonly string[]) {
+  return hosts.map(host => ({host, incarnation: 'a'}));
+}
+
+function createSession(changes: Partial<Session> = {}): Session {
+  return {
+    member: SELF,
+    dataCentre: 'dc1',
+    region: 'r1',
+    peerAddress: {ip: '127.0.0.1', port: 1},
+    callerPort: 2,
+    witnesses: SET,
+    servers: [],
+    isEnded: false,
+    isLeaving: false,
+    ...changes,
+  };
+}
+
+function createInForce(): WriterState {
+  const inForce = {session: createSession(), version: 5};
+  return {...createWriterState(SELF), inForce};
+}
+
+function check(state: WriterState, witnesses = NEXT_SET): WriterStep {
+  const wanted = createSession({witnesses});
+  return applyWriterEvent(state, {kind: 'check', wanted, found: undefined});
+}
+
+function answer(
+  step: WriterStep,
+  kind: 'unknown' | 'no-effect' | 'conflict',
+): WriterStep {
+  if (step.effect.kind !== 'write') throw new Error('Nothing was written.');
+  const {write} = step.effect;
+  return applyWriterEvent(step.state, {
+    kind: 'answered',
+    write,
+    answer: {kind},
+  });
+}
+
+function applySeen(state: WriterState, version: number, session: Session) {
+  const event: WriterEvent = {kind: 'seen', found: {session, version}};
+  return applyWriterEvent(state, event);
+}
+
+test('both sets count from before the write until its outcome is known', t => {
+  const started = check(createInForce());
+  t.deepEqual(getActiveSets(started.state), [SET, NEXT_SET]);
+  const lost = answer(started, 'unknown');
+  t.deepEqual(getActiveSets(lost.state), [SET, NEXT_SET]);
+  const refused = answer(started, 'no-effect');
+  t.deepEqual(getActiveSets(refused.state), [SET]);
+});
+
+test('reading the expected version settles nothing; a higher one does', t => {
+  const lost = answer(check(createInForce()), 'unknown');
+  const old = applySeen(lost.state, 5, createSession());
+  t.deepEqual(getActiveSets(old.state), [SET, NEXT_SET]);
+  const newer = applySeen(lost.state, 6, createSession({witnesses: NEXT_SET}));
+  t.deepEqual(getActiveSets(newer.state), [NEXT_SET]);
+});
+
+test('a lost write is settled by writing the same set again, never a third', t => {
+  const lost = answer(check(createInForce()), 'unknown');
+  const again = check(lost.state, THIRD_SET);
+  t.deepEqual(getActiveSets(again.state), [SET, NEXT_SET]);
+  t.like(again.effect, {
+    kind: 'write',
+    write: {expectedVersion: 5, session: {witnesses: NEXT_SET}},
+  });
+  t.deepEqual(getActiveSets(answer(again, 'no-effect').state), [SET, NEXT_SET]);
+  const conflict = answer(again, 'conflict');
+  t.is(conflict.effect.kind, 'read');
+  t.deepEqual(getActiveSets(conflict.state), [SET, NEXT_SET]);
+});
+
+test('a member whose session was ended goes on as another one', t => {
+  const ended = applySeen(createInForce(), 6, createSession({isEnded: true}));
+  t.is(ended.effect.kind, 'rejoin');
+});
+
+test('a session of this member that ended before it was known is not written over', t => {
+  const first = applyWriterEvent(createWriterState(SELF), {
+    kind: 'check',
+    wanted: createSession(),
+    found: undefined,
+  });
+  const lost = answer(first, 'unknown');
+  const found = {session: createSession({isEnded: true}), version: 2};
+  const wanted = createSession({witnesses: NEXT_SET});
+  const next = applyWriterEvent(lost.state, {kind: 'check', wanted, found});
+  t.is(next.effect.kind, 'rejoin');
+});
+
+test('a member begins only over a session that has ended', t => {
+  const wanted = createSession();
+  const found = {session: createSession({member: EARLIER}), version: 3};
+  const state = createWriterState(SELF);
+  const event = {kind: 'check', wanted} as const;
+  const live = applyWriterEvent(state, {...event, found});
+  t.deepEqual(live.effect, {kind: 'end-earlier', earlier: found});
+  const over = {...found, session: {...found.session, isEnded: true}};
+  const begun = applyWriterEvent(state, {...event, found: over});
+  t.like(begun.effect, {kind: 'write', write: {expectedVersion: 3}});
+});
+
+test('an answer that comes after a newer version was seen changes nothing', t => {
+  const started = check(createInForce());
+  const seen = applySeen(
+    started.state,
+    7,
+    createSession({witnesses: NEXT_SET}),
+  );
+  const late = answer({...started, state: seen.state}, 'unknown');
+  t.deepEqual(getActiveSets(late.state), [NEXT_SET]);
+});
