Place slices by observed load, and isolate hot positions

Placement counted slices, so one hot key could overload an owner while the plan called it even. The plan gives weights by slots, moves slices only when a load is 12% off its share, cuts a hot position into a slice that moves alone, and merges cold fragments back.

Fault found on the way: the gate released a slice that it knew only as part of a larger one, and went on serving its positions under the larger one's start. An owner that had not seen a cut yet could thus have served beside the new owner. It now releases only slices that it knows by the same start and token.

Ruled out: a new token for each part of a cut slice. It stops every key of the slice until its server has the new grant, and does not help an owner that has not seen the cut.

Merged slices do take a new token, which voids what was released or under way under the old ones.

--- a/packages/ownership/src/placement.ts
+++ b/packages/ownership/src/placement.ts
@@ -1,11 +1,18 @@
 /**
- * Decides which member owns which slice. Slices without a live owner are given away at once; slices
- * of live owners are moved by plan, and only as many as balance needs.
+ * Decides which member owns which slice, by the load that owners observe. Slices without a live owner
+ * are given away at once. Slices of live owners are moved by plan: from an owner whose load is well
+ * above its share, or to one well below, and only until the loads are close.
  */
-import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
-import type {Member, ServiceName} from '@dottereldrift/core/types.js';
-
-import {createSlices} from './slices.js';
+import {isSameMember} from '@dottereldrift/core/member.js';
+import {RING_SIZE} from '@dottereldrift/core/ring_hash.js';
+import type {HostName, Member, ServiceName} from '@dottereldrift/core/types.js';
+
+import {computeSliceRates, EMPTY_PROFILE} from './load_profile.js';
+import type {LoadProfile} from './load_types.js';
+import {planMoves} from './move_plan.js';
+import {OwnerLoads} from './owner_loads.js';
+import {MAX_SLICES, planShape} from './reshaping.js';
+import {createSlices, getSliceEnd} from './slices.js';
 import type {Assignment, Slice, SliceRef} from './types.js';
 
 /** What placement is decided from. */
@@ -21,164 +28,125 @@
   /** Slices that their owners have released for a move. */
   readonly released: readonly SliceRef[];
   readonly slicesPerServer: number;
+  /** Weights of hosts, such as the slots of their servers; 1 where none is given. */
+  readonly weights?: ReadonlyMap<HostName, number>;
+  /** Observed load; without one, slices count by their widths. */
+  readonly profile?: LoadProfile;
 }
 
-/** Slices that an owner may have above the mean before some are moved away. */
-const SURPLUS_ALLOWED = 1;
-
-/** Most slices that are on the move at a time, so that few keys are unavailable at once. */
-const MAX_MOVES_UNDER_WAY = 16;
+/**
+ * Load that every owner is taken to have beside the observed one, spread evenly over the ring, so that
+ * a few requests do not move slices. In requests a second.
+ */
+const ASSUMED_RATE_PER_OWNER = 10;
 
 /** Returns the next assignment, or undefined when the present one stands. */
 export function planAssignment(input: PlacementInput): Assignment | undefined {
-  const generation = (input.present?.generation ?? 0) + 1;
-  const first = input.present?.slices ?? createFirstSlices(input);
-  const settled = first.map(slice => settleSlice(slice, input, generation));
-  const placed = placeUnowned(settled, input, generation);
-  const slices = planMoves(placed, input);
-  if (input.present !== undefined && isUnchanged(first, slices))
-    return undefined;
+  const {present, eligible} = input;
+  const generation = (present?.generation ?? 0) + 1;
+  const plannedCount = Math.min(
+    MAX_SLICES,
+    input.slicesPerServer * eligible.length,
+  );
+  const first = present?.slices ?? createSlices(plannedCount);
+  const settled = settleSlices(first, input, generation);
+  const slices =
+    eligible.length === 0
+      ? settled
+      : planOwners(settled, input, plannedCount, generation);
   if (slices.length === 0) return undefined;
+  if (present !== undefined && isUnchanged(first, slices)) return undefined;
   return {service: input.service, generation, slices, writer: input.writer};
 }
 
-function createFirstSlices(input: PlacementInput): readonly Slice[] {
-  return createSlices(input.slicesPerServer * input.eligible.length);
-}
-
-/** Ends what can be ended: owners that are gone, moves that were released, moves to nowhere. */
-function settleSlice(
-  slice: Slice,
+function planOwners(
+  settled: readonly Slice[],
   input: PlacementInput,
+  plannedCount: number,
   generation: number,
-): Slice {
-  const isLost = slice.owner !== undefined && input.isEnded(slice.owner);
-  if (isLost) {
-    return {
-      ...slice,
-      owner: undefined,
-      nextOwner: undefined,
-      recordsSince: generation,
-    };
-  }
-  if (slice.nextOwner === undefined) return slice;
-  const isReleased = input.released.some(
-    ref => ref.start === slice.start && ref.token === slice.token,
+): readonly Slice[] {
+  const profile = input.profile ?? EMPTY_PROFILE;
+  const {eligible} = input;
+  const assumed = ASSUMED_RATE_PER_OWNER * eligible.length;
+  const observed = computeSliceRates(profile, settled);
+  const total = observed.reduce((sum, rate) => sum + rate, assumed);
+  const meanRate = total / eligible.length;
+  const shape = {plannedCount, profile, meanRate, token: generation};
+  const shaped = planShape(settled, shape);
+  const rates = computeSliceRates(profile, shaped).map(
+    (rate, index) => rate + assumed * getRingShare(shaped, index),
   );
-  const isTargetGone = !isMember(input.eligible, slice.nextOwner);
-  if (isReleased && !isTargetGone) {
-    return {
-      ...slice,
-      owner: slice.nextOwner,
-      token: generation,
-      nextOwner: undefined,
-    };
-  }
-  if (!isTargetGone) return slice;
-  // The owner may have stopped admission already; a new token lets it start again.
-  return {
-    ...slice,
-    token: generation,
-    nextOwner: undefined,
-  };
+  const weights = input.weights ?? new Map<HostName, number>();
+  const loads = new OwnerLoads(eligible, weights, shaped, rates);
+  const placed = placeUnowned(shaped, rates, loads, generation);
+  return planMoves(placed, rates, loads, plannedCount);
 }
 
-function placeUnowned(
+function getRingShare(slices: readonly Slice[], index: number): number {
+  const start = slices[index]?.start ?? 0;
+  return (getSliceEnd(slices, index) - start) / RING_SIZE;
+}
+
+function settleSlices(
   slices: readonly Slice[],
   input: PlacementInput,
   generation: number,
 ): readonly Slice[] {
-  const loads = countLoads(slices, input.eligible);
+  const eligible = new Map(input.eligible.map(member => [member.host, member]));
+  const isEligible = (member: Member) => {
+    const other = eligible.get(member.host);
+    return other !== undefined && isSameMember(other, member);
+  };
+  const released = new Map(input.released.map(ref => [ref.start, ref.token]));
   return slices.map(slice => {
-    if (slice.owner !== undefined) return slice;
-    const owner = findLeastLoaded(loads, input.eligible);
-    if (owner === undefined) return slice;
-    addLoad(loads, owner, 1);
-    return {
-      ...slice,
-      owner,
-      token: generation,
-      nextOwner: undefined,
-    };
+    if (slice.owner !== undefined && input.isEnded(slice.owner))
+      return endOwner(slice, generation);
+    if (slice.nextOwner === undefined) return slice;
+    // The owner may have stopped admission already; a new token lets it start again.
+    if (!isEligible(slice.nextOwner))
+      return {...slice, token: generation, nextOwner: undefined};
+    return released.get(slice.start) === slice.token
+      ? finishMove(slice, generation)
+      : slice;
   });
 }
 
-function planMoves(
-  slices: readonly Slice[],
-  input: PlacementInput,
-): readonly Slice[] {
-  if (input.eligible.length === 0) return slices;
-  const loads = countLoads(slices, input.eligible);
-  const mean = slices.length / input.eligible.length;
-  let underWay = slices.filter(slice => slice.nextOwner !== undefined).length;
-  return slices.map(slice => {
-    if (underWay >= MAX_MOVES_UNDER_WAY) return slice;
-    const target = findMoveTarget(slice, input, loads, mean);
-    if (target === undefined || slice.owner === undefined) return slice;
-    addLoad(loads, slice.owner, -1);
-    addLoad(loads, target, 1);
-    underWay += 1;
-    return {...slice, nextOwner: target};
-  });
+function endOwner(slice: Slice, generation: number): Slice {
+  const none = {owner: undefined, nextOwner: undefined};
+  return {...slice, ...none, recordsSince: generation};
 }
 
-function findMoveTarget(
-  slice: Slice,
-  input: PlacementInput,
-  loads: Map<string, number>,
-  mean: number,
-): Member | undefined {
-  if (slice.owner === undefined || slice.nextOwner !== undefined)
-    return undefined;
-  const target = findLeastLoaded(loads, input.eligible);
-  if (target === undefined || isSameMember(target, slice.owner))
-    return undefined;
-  if (!isMember(input.eligible, slice.owner)) return target;
-  const isSurplus =
-    getLoad(loads, slice.owner) > Math.ceil(mean) + SURPLUS_ALLOWED;
-  return isSurplus && getLoad(loads, target) < Math.floor(mean)
-    ? target
-    : undefined;
+function finishMove(slice: Slice, generation: number): Slice {
+  return {
+    ...slice,
+    owner: slice.nextOwner,
+    token: generation,
+    nextOwner: undefined,
+  };
 }
 
-function countLoads(
+/** Gives slices without an owner away, the heaviest first. */
+function placeUnowned(
   slices: readonly Slice[],
-  eligible: readonly Member[],
-): Map<string, number> {
-  const loads = new Map(eligible.map(member => [formatMember(member), 0]));
-  for (const slice of slices) {
-    const holder = slice.nextOwner ?? slice.owner;
-    if (holder !== undefined) addLoad(loads, holder, 1);
+  rates: readonly number[],
+  loads: OwnerLoads,
+  generation: number,
+): readonly Slice[] {
+  const unowned = [...slices.keys()]
+    .filter(index => slices[index]?.owner === undefined)
+    .sort((a, b) => (rates[b] ?? 0) - (rates[a] ?? 0) || a - b);
+  if (unowned.length === 0) return slices;
+  const owners = new Map<number, Member>();
+  for (const index of unowned) {
+    const least = loads.getLeast();
+    least.rate += rates[index] ?? 0;
+    owners.set(index, least.member);
   }
-  return loads;
-}
-
-function addLoad(
-  loads: Map<string, number>,
-  member: Member,
-  change: number,
-): void {
-  const name = formatMember(member);
-  loads.set(name, (loads.get(name) ?? 0) + change);
-}
-
-function getLoad(loads: Map<string, number>, member: Member): number {
-  return loads.get(formatMember(member)) ?? 0;
-}
-
-function findLeastLoaded(
-  loads: Map<string, number>,
-  eligible: readonly Member[],
-): Member | undefined {
-  return eligible.reduce<Member | undefined>((best, member) => {
-    return best === undefined || getLoad(loads, member) < getLoad(loads, best)
-      ? member
-      : best;
-  }, undefined);
-}
-
-function isMember(members: readonly Member[], member: Member): boolean {
-  return members.some(other => isSameMember(other, member));
+  return slices.map((slice, index) => {
+    const owner = owners.get(index);
+    if (owner === undefined) return slice;
+    return {...slice, owner, token: generation, nextOwner: undefined};
+  });
 }
 
 function isUnchanged(
--- /dev/null
+++ b/packages/ownership/src/reshaping.ts
@@ -0,0 +1,124 @@
+/**
+ * Changes of the slices that leave every position with its owner: more slices for a grown fleet, hot
+ * positions cut out, and cold slices merged with their neighbours so that their number is bounded.
+ */
+import {isSameMember} from '@dottereldrift/core/member.js';
+import {RING_SIZE} from '@dottereldrift/core/ring_hash.js';
+import type {Token} from '@dottereldrift/core/types.js';
+
+import {computeSliceRates} from './load_profile.js';
+import type {LoadProfile} from './load_types.js';
+import {
+  findSlice,
+  getSliceEnd,
+  isolatePosition,
+  mergeSlices,
+  splitAll,
+} from './slices.js';
+import type {Slice} from './types.js';
+
+/** Most slices of a service, so that its record stays below a megabyte. */
+export const MAX_SLICES = 40_000;
+
+/** Share of an owner's mean load from which a position gets a slice of its own. */
+export const ISOLATION_SHARE = 0.05;
+
+/** Share of an owner's mean load below which slices are cold. */
+const COLD_SHARE = 0.02;
+
+const MAX_SLICES_FACTOR = 2;
+const MAX_MERGES_PER_PLAN = 16;
+const WIDTH_TOLERANCE = 1.01;
+/** Slices added by isolation. */
+const ISOLATION_GROWTH = 2;
+
+/** What the shape of the slices is decided from. */
+export interface ShapeInput {
+  /** Number of slices that the fleet calls for. */
+  readonly plannedCount: number;
+  readonly profile: LoadProfile;
+  /** Mean load of an owner, in requests a second. */
+  readonly meanRate: number;
+  /** Token of slices that are merged. */
+  readonly token: Token;
+}
+
+/** Returns slices of the same owners in the shape that the load calls for. */
+export function planShape(
+  slices: readonly Slice[],
+  input: ShapeInput,
+): readonly Slice[] {
+  const grown = splitForGrowth(slices, input);
+  const isolated = isolateHotPositions(grown, input);
+  return mergeColdSlices(isolated, input);
+}
+
+function splitForGrowth(
+  slices: readonly Slice[],
+  input: ShapeInput,
+): readonly Slice[] {
+  const {plannedCount} = input;
+  const isTooFew =
+    slices.length * 2 <= plannedCount && slices.length * 2 <= MAX_SLICES;
+  return isTooFew ? splitAll(slices) : slices;
+}
+
+function isolateHotPositions(
+  slices: readonly Slice[],
+  input: ShapeInput,
+): readonly Slice[] {
+  const maxCount = Math.min(MAX_SLICES, input.plannedCount * MAX_SLICES_FACTOR);
+  const minRate = input.meanRate * ISOLATION_SHARE;
+  return [...input.profile.hotPositions]
+    .sort((a, b) => b.rate - a.rate)
+    .filter(hot => hot.rate >= minRate)
+    .reduce((shaped, hot) => {
+      const slice = findSlice(shaped, hot.position);
+      const hasRoom = shaped.length + ISOLATION_GROWTH <= maxCount;
+      if (!hasRoom || slice?.nextOwner !== undefined) return shaped;
+      const isolated = isolatePosition(shaped, hot.position);
+      return isolated.length === shaped.length ? shaped : isolated;
+    }, slices);
+}
+
+function mergeColdSlices(
+  slices: readonly Slice[],
+  input: ShapeInput,
+): readonly Slice[] {
+  if (slices.length <= input.plannedCount) return slices;
+  const rates = computeSliceRates(input.profile, slices);
+  const maxWidth = (RING_SIZE / input.plannedCount) * WIDTH_TOLERANCE;
+  const maxRate = input.meanRate * COLD_SHARE;
+  const merged: Slice[] = [];
+  let mergedRate = 0;
+  let merges = 0;
+  slices.forEach((slice, index) => {
+    const rate = rates[index] ?? 0;
+    const last = merged[merged.length - 1];
+    const isCold =
+      last !== undefined &&
+      merges < MAX_MERGES_PER_PLAN &&
+      isMergeable(last, slice) &&
+      getSliceEnd(slices, index) - last.start <= maxWidth &&
+      mergedRate + rate <= maxRate;
+    if (isCold) {
+      merged[merged.length - 1] = mergeSlices(last, slice, input.token);
+      mergedRate += rate;
+      merges += 1;
+    } else {
+      merged.push(slice);
+      mergedRate = rate;
+    }
+  });
+  return merges === 0 ? slices : merged;
+}
+
+function isMergeable(first: Slice, second: Slice): boolean {
+  return (
+    first.owner !== undefined &&
+    second.owner !== undefined &&
+    isSameMember(first.owner, second.owner) &&
+    first.nextOwner === undefined &&
+    second.nextOwner === undefined
+  );
+}
--- a/packages/ownership/src/slice_gate.ts
+++ b/packages/ownership/src/slice_gate.ts
@@ -61,8 +61,13 @@
     };
   }
 
-  /** Stops admission to slices for good under their tokens. Returns those on which nothing runs. */
-  releaseSlices(refs: readonly SliceRef[]): readonly SliceRef[] {
+  /**
+   * Stops admission to slices for good under their tokens. Returns those on which nothing runs. A
+   * slice that this member does not know with the same start and token is not released: it was cut or
+   * merged since, and requests to its positions are still admitted under another start.
+   */
+  releaseSlices(asked: readonly SliceRef[]): readonly SliceRef[] {
+    const refs = asked.filter(ref => this.isKnown(ref));
     for (const ref of refs) {
       const released = this.releasedTokens.get(ref.start) ?? 0;
       this.releasedTokens.set(ref.start, Math.max(released, ref.token));
@@ -70,6 +75,11 @@
     return refs.filter(ref => !this.isBusy(ref));
   }
 
+  private isKnown(ref: SliceRef): boolean {
+    const slice = findSlice(this.assignment?.slices ?? [], ref.start);
+    return slice?.start === ref.start && slice.token === ref.token;
+  }
+
   private isReleased(slice: Slice): boolean {
     return (this.releasedTokens.get(slice.start) ?? 0) >= slice.token;
   }
@@ -85,7 +95,7 @@
   private dropOldReleases(assignment: Assignment): void {
     for (const [start, token] of this.releasedTokens) {
       const slice = findSlice(assignment.slices, start);
-      if (slice !== undefined && slice.start === start && slice.token > token) {
+      if (slice !== undefined && slice.token > token) {
         this.releasedTokens.delete(start);
       }
     }
--- a/packages/ownership/src/slices.ts
+++ b/packages/ownership/src/slices.ts
@@ -4,7 +4,7 @@
 import {assertDefined} from '@dottereldrift/core/assert.js';
 import {isSameMember} from '@dottereldrift/core/member.js';
 import {RING_SIZE} from '@dottereldrift/core/ring_hash.js';
-import type {Member} from '@dottereldrift/core/types.js';
+import type {Member, Token} from '@dottereldrift/core/types.js';
 
 import type {Slice} from './types.js';
 
@@ -86,3 +86,22 @@
   const second = {...slice, start: position};
   return [...slices.slice(0, index + 1), second, ...slices.slice(index + 1)];
 }
+
+/** Cuts every slice that is not on the move in two halves. */
+export function splitAll(slices: readonly Slice[]): readonly Slice[] {
+  return slices.flatMap((slice, index) => {
+    const end = getSliceEnd(slices, index);
+    const middle = Math.floor((slice.start + end) / 2);
+    const isWhole = middle === slice.start || slice.nextOwner !== undefined;
+    return isWhole ? [slice] : [slice, {...slice, start: middle}];
+  });
+}
+
+/**
+ * Makes one slice of two neighbours of one owner. The new token voids what the owner released and
+ * what is under way under the old ones.
+ */
+export function mergeSlices(first: Slice, second: Slice, token: Token): Slice {
+  const recordsSince = Math.max(first.recordsSince, second.recordsSince);
+  return {...first, token, recordsSince};
+}
--- /dev/null
+++ b/packages/ownership/test/placement.test.ts
@@ -0,0 +1,298 @@
+/**
+ * Tests of placement: what every plan keeps, that plans settle, and how little they move.
+ */
+import test from 'ava';
+import fc from 'fast-check';
+
+import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
+import {RING_SIZE} from '@dottereldrift/core/ring_hash.js';
+import type {Member} from '@dottereldrift/core/types.js';
+
+import {computeSliceRates} from '../src/load_profile.js';
+import type {LoadProfile} from '../src/load_types.js';
+import {planAssignment} from '../src/placement.js';
+import {findSlice, getSliceEnd} from '../src/slices.js';
+import type {Assignment, SliceRef} from '../src/types.js';
+import {
+  createInput,
+  createMembers,
+  listMoving,
+  planUntilSettled,
+} from './fleet_model.js';
+
+const RUNS = {seed: 20_261, numRuns: 60};
+const SLICES_PER_SERVER = 16;
+
+interface Step {
+  readonly memberFlags: readonly boolean[];
+  readonly endedFlags: readonly boolean[];
+  readonly releaseEvery: number;
+  readonly profile: LoadProfile;
+}
+
+const POOL = createMembers(8);
+
+const profileArbitrary = fc
+  .record({
+    rates: fc.array(fc.integer({min: 0, max: 400}), {
+      minLength: 1,
+      maxLength: 40,
+    }),
+    hot: fc.uniqueArray(
+      fc.record({
+        position: fc.integer({min: 0, max: RING_SIZE - 1}),
+        rate: fc.integer({min: 1, max: 2_000}),
+      }),
+      {maxLength: 6, selector: hot => hot.position},
+    ),
+  })
+  .map(({rates, hot}): LoadProfile => ({
+    segments: rates.map((rate, index) => ({
+      start: Math.floor((index * RING_SIZE) / rates.length),
+      rate,
+    })),
+    hotPositions: [...hot].sort((a, b) => a.position - b.position),
+  }));
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  memberFlags: fc.array(fc.boolean(), {minLength: 8, maxLength: 8}),
+  endedFlags: fc.array(fc.boolean(), {minLength: 8, maxLength: 8}),
+  releaseEvery: fc.integer({min: 1, max: 4}),
+  profile: profileArbitrary,
+});
+
+function checkSuccessor(
+  before: Assignment | undefined,
+  after: Assignment,
+  released: readonly SliceRef[],
+  isEnded: (member: Member) => boolean,
+): void {
+  expectTrue(
+    after.generation === (before?.generation ?? 0) + 1,
+    'generation grows by one',
+  );
+  expectTrue(after.slices[0]?.start === 0, 'the first slice starts at 0');
+  after.slices.forEach((slice, index) => {
+    const end = getSliceEnd(after.slices, index);
+    expectTrue(slice.start < end, 'slices are in order and not empty');
+    expectTrue(slice.token <= after.generation, 'no token from the future');
+    expectTrue(slice.recordsSince <= after.generation, 'records are known');
+  });
+  if (before === undefined) return;
+  const edges = [...before.slices, ...after.slices].map(slice => slice.start);
+  for (const position of edges)
+    checkPosition(before, after, position, released, isEnded);
+}
+
+function checkPosition(
+  before: Assignment,
+  after: Assignment,
+  position: number,
+  released: readonly SliceRef[],
+  isEnded: (member: Member) => boolean,
+): void {
+  const old = findSlice(before.slices, position);
+  const next = findSlice(after.slices, position);
+  if (old === undefined || next === undefined) throw new Error('No slice.');
+  expectTrue(next.token >= old.token, 'tokens of a position never go down');
+  expectTrue(
+    next.recordsSince >= old.recordsSince,
+    'records never reach further back',
+  );
+  const {owner} = old;
+  if (owner === undefined) return;
+  const isSame = next.owner !== undefined && isSameMember(owner, next.owner);
+  if (isSame) return;
+  const isReleased = released.some(
+    ref => ref.start === old.start && ref.token === old.token,
+  );
+  expectTrue(
+    isReleased || isEnded(owner),
+    'an owner changes by release or end',
+  );
+  expectTrue(
+    next.owner === undefined || next.token > old.token,
+    'another owner has a higher token',
+  );
+}
+
+function expectTrue(condition: boolean, text: string): void {
+  if (!condition) throw new Error(`Broken: ${text}.`);
+}
+
+test('every plan keeps the rules of ownership', t => {
+  fc.assert(
+    fc.property(fc.array(stepArbitrary, {maxLength: 12}), steps => {
+      let present: Assignment | undefined;
+      const ended = new Set<string>();
+      for (const step of steps) {
+        step.endedFlags.forEach((isEnd, index) => {
+          // Half the flags would end everybody at once.
+          if (isEnd && index < 2 && ended.size < 2)
+            ended.add(formatMember(POOL[index] as Member));
+        });
+        const isEnded = (member: Member) => ended.has(formatMember(member));
+        const eligible = POOL.filter(
+          (member, index) =>
+            step.memberFlags[index] === true && !isEnded(member),
+        );
+        const moving = present === undefined ? [] : listMoving(present);
+        const released = moving.filter(
+          (_, index) => index % step.releaseEvery === 0,
+        );
+        const next = planAssignment(
+          createInput(eligible, {
+            present,
+            isEnded,
+            released,
+            profile: step.profile,
+          }),
+        );
+        if (next === undefined) continue;
+        checkSuccessor(present, next, released, isEnded);
+        present = next;
+      }
+    }),
+    RUNS,
+  );
+  t.pass();
+});
+
+test('plans settle, and the same input changes nothing more', t => {
+  fc.assert(
+    fc.property(
+      fc.integer({min: 1, max: 8}),
+      fc.integer({min: 1, max: 8}),
+      profileArbitrary,
+      profileArbitrary,
+      (before, after, first, second) => {
+        const start = planUntilSettled(
+          createInput(createMembers(before), {profile: first}),
+        );
+        const input = createInput(createMembers(after), {profile: second});
+        const settled = planUntilSettled({...input, present: start});
+        const again = planAssignment({...input, present: settled});
+        expectTrue(again === undefined, 'a settled plan stands');
+        expectTrue(
+          settled.slices.length <= 8 * SLICES_PER_SERVER * 2,
+          'the number of slices is bounded',
+        );
+      },
+    ),
+    RUNS,
+  );
+  t.pass();
+});
+
+test('an owner that joins or leaves moves little more than its share', t => {
+  for (const count of [3, 5, 20, 60]) {
+    const members = createMembers(count);
+    const start = planUntilSettled(createInput(members));
+    const grown = planUntilSettled(
+      createInput(createMembers(count + 1), {present: start}),
+    );
+    const shareOfOne = 1 / (count + 1);
+    t.true(sumMovedShare(start, grown) <= shareOfOne * 1.1, `${count} joins`);
+    t.true(sumMovedShare(start, grown) >= shareOfOne * 0.8, `${count} joins`);
+    const left = planUntilSettled(
+      createInput(members.slice(1), {present: start}),
+    );
+    t.true(sumMovedShare(start, left) <= (1 / count) * 1.1, `${count} leaves`);
+  }
+});
+
+function sumMovedShare(before: Assignment, after: Assignment): number {
+  return after.slices.reduce((sum, slice, index) => {
+    const old = findSlice(before.slices, slice.start);
+    const isMoved =
+      old?.owner !== undefined &&
+      slice.owner !== undefined &&
+      !isSameMember(old.owner, slice.owner);
+    const width = getSliceEnd(after.slices, index) - slice.start;
+    return isMoved ? sum + width / RING_SIZE : sum;
+  }, 0);
+}
+
+test('a hot position gets a slice of its own, moves alone and is merged back', t => {
+  const members = createMembers(3);
+  const start = planUntilSettled(createInput(members));
+  const position = 12_345_678;
+  const hot: LoadProfile = {
+    segments: [{start: 0, rate: 3_000}],
+    hotPositions: [{position, rate: 900}],
+  };
+  const isolated = planUntilSettled(
+    createInput(members, {present: start, profile: hot}),
+  );
+  const own = findSlice(isolated.slices, position);
+  t.is(own?.start, position);
+  t.is(findSlice(isolated.slices, position + 1)?.start, position + 1);
+  const rates = computeSliceRates(hot, isolated.slices);
+  const total = rates.reduce((sum, rate) => sum + rate, 0);
+  for (const member of members) {
+    const rate = isolated.slices.reduce((sum, slice, index) => {
+      const isOwn = slice.owner?.host === member.host;
+      return isOwn ? sum + (rates[index] ?? 0) : sum;
+    }, 0);
+    t.true(rate <= (total / members.length) * 1.12, member.host);
+  }
+  const cold = planUntilSettled(
+    createInput(members, {
+      present: isolated,
+      profile: {segments: [{start: 0, rate: 3_000}], hotPositions: []},
+    }),
+  );
+  t.not(findSlice(cold.slices, position)?.start, position);
+});
+
+test('slices follow the slots of the servers', t => {
+  const members = createMembers(2);
+  const weights = new Map([
+    ['h1', 3],
+    ['h2', 9],
+  ]);
+  const plan = planUntilSettled(createInput(members, {weights}));
+  const counts = members.map(
+    member =>
+      plan.slices.filter(slice => slice.owner?.host === member.host).length,
+  );
+  t.deepEqual(counts, [8, 24]);
+});
+
+test('a small surplus moves nothing', t => {
+  const members = createMembers(4);
+  const present = planUntilSettled(createInput(members));
+  const profile: LoadProfile = {
+    segments: present.slices.map(slice => ({
+      start: slice.start,
+      rate: slice.owner?.host === 'h1' ? 110 : 100,
+    })),
+    hotPositions: [],
+  };
+  t.is(planAssignment(createInput(members, {present, profile})), undefined);
+});
+
+test('plans of a small fleet', t => {
+  const format = (assignment: Assignment | undefined) =>
+    assignment?.slices.map(
+      ({start, owner, token, nextOwner, recordsSince}) =>
+        `${start} ${owner?.host ?? '-'} token ${token} to ${nextOwner?.host ?? '-'} records ${recordsSince}`,
+    );
+  const small = {slicesPerServer: 3};
+  const members = createMembers(2);
+  const first = planAssignment(createInput(members, small));
+  t.snapshot(format(first), 'two owners start');
+  const joined = planAssignment(
+    createInput(createMembers(3), {...small, present: first}),
+  );
+  t.snapshot(format(joined), 'a third joins');
+  const isEnded = (member: Member) => member.host === 'h1';
+  const lost = planAssignment(
+    createInput(members.slice(1), {...small, present: first, isEnded}),
+  );
+  t.snapshot(format(lost), 'the first is lost');
+  const drained = planAssignment(
+    createInput(members.slice(1), {...small, present: first}),
+  );
+  t.snapshot(format(drained), 'the first drains');
+});
