Route services that any server may take by the choice of hosts

The entry compared two random hosts by its requests under way, so that a host that failed at once looked idle and drew the traffic. Outcomes of attempts now weigh in, and a retry goes to another host than the one that failed.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -7,6 +7,12 @@
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {ServiceName} from '@dottereldrift/core/types.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
+import {judgeAnswer, judgeFailure} from '@dottereldrift/routing/attempt_end.js';
+import {
+  type AttemptEnd,
+  HostChoice,
+  type ServingHost,
+} from '@dottereldrift/routing/host_choice.js';
 import {
   getResendCost,
   getRetryDelayMs,
@@ -40,8 +46,8 @@
 /** Routes requests. */
 export class Entry {
   private readonly budgets = new Map<ServiceName, Budgets>();
-  /** Requests that this daemon has under way, by host. */
-  private readonly inFlight = new Map<string, number>();
+  /** Choice of hosts of the services that are not divided by key. */
+  private readonly choices = new Map<ServiceName, HostChoice>();
 
   constructor(
     private readonly system: System,
@@ -60,7 +66,7 @@
     let refused: RefusedAttempt | undefined;
     let failure: AttemptFailure | undefined;
     for (let retries = 0; ; retries++) {
-      const route = this.chooseRoute(exchange);
+      const route = this.chooseRoute(exchange, refused?.host);
       if (
         failure === undefined ||
         refused === undefined ||
@@ -113,20 +119,23 @@
   ): Promise<AttemptResult> {
     if (route.kind !== 'send') return failRoute(route.code, exchange);
     const {candidate, generation} = route;
-    const {host} = candidate.member;
-    this.addInFlight(host, 1);
+    const {service} = exchange.target;
+    const end = this.getChoice(service).startAttempt(candidate.member.host);
+    let result: AttemptResult | undefined;
     try {
-      if (candidate.isLocal) return await this.owner.handle(exchange);
-      return await this.forwarder.forward(candidate, exchange, generation);
+      result = candidate.isLocal
+        ? await this.owner.handle(exchange)
+        : await this.forwarder.forward(candidate, exchange, generation);
+      return result;
     } finally {
-      this.addInFlight(host, -1);
+      end(result === undefined ? 'neutral' : judgeResult(result));
     }
   }
 
-  private chooseRoute(exchange: Exchange): RouteDecision {
+  private chooseRoute(exchange: Exchange, lastHost?: string): RouteDecision {
     const {service} = exchange.target;
     const position = getPosition(exchange);
-    if (position === undefined) return this.chooseAny(service);
+    if (position === undefined) return this.chooseAny(service, lastHost);
     const assignment = this.view.getAssignment(service)?.assignment;
     const owner = findSlice(assignment?.slices ?? [], position)?.owner;
     if (assignment === undefined || owner === undefined)
@@ -141,34 +150,24 @@
     return {kind: 'send', candidate, generation: assignment.generation};
   }
 
-  /** Picks the less busy of two random hosts that serve the service. */
-  private chooseAny(service: ServiceName): RouteDecision {
+  /** Chooses any host that serves the service, a retry another than before. */
+  private chooseAny(service: ServiceName, lastHost?: string): RouteDecision {
     const hosts = this.getServingHosts(service);
-    if (hosts.length === 0) return {kind: 'wait', code: 'DD3024'};
-    const first =
-      hosts[Math.floor(this.system.getRandom() * hosts.length)] ?? '';
-    const second =
-      hosts[Math.floor(this.system.getRandom() * hosts.length)] ?? '';
-    const host =
-      this.getInFlight(second) < this.getInFlight(first) ? second : first;
-    const candidate = this.createCandidate(host);
+    const host = this.getChoice(service).choose(hosts, lastHost);
+    const candidate =
+      host === undefined ? undefined : this.createCandidate(host);
     if (candidate === undefined) return {kind: 'wait', code: 'DD3024'};
     return {kind: 'send', candidate, generation: 0};
   }
 
-  private getServingHosts(service: ServiceName): readonly string[] {
-    return this.view
-      .getLiveSessions()
-      .filter(
-        session =>
-          !session.isLeaving && !this.view.isDraining(session.member.host),
-      )
-      .filter(session =>
-        session.servers.some(
-          server => server.service === service && !server.isLeaving,
-        ),
-      )
-      .map(session => session.member.host);
+  private getServingHosts(service: ServiceName): readonly ServingHost[] {
+    return this.view.getLiveSessions().flatMap(session => {
+      const {host} = session.member;
+      const server = session.servers.find(other => other.service === service);
+      const isLeaving = session.isLeaving || this.view.isDraining(host);
+      if (server === undefined || server.isLeaving || isLeaving) return [];
+      return [{host, slots: server.slots}];
+    });
   }
 
   private createCandidate(host: string): Candidate | undefined {
@@ -189,13 +188,19 @@
     return budgets;
   }
 
-  private getInFlight(host: string): number {
-    return this.inFlight.get(host) ?? 0;
+  private getChoice(service: ServiceName): HostChoice {
+    const present = this.choices.get(service);
+    if (present !== undefined) return present;
+    const choice = new HostChoice(this.system);
+    this.choices.set(service, choice);
+    return choice;
   }
+}
 
-  private addInFlight(host: string, change: number): void {
-    this.inFlight.set(host, this.getInFlight(host) + change);
-  }
+function judgeResult(result: AttemptResult): AttemptEnd {
+  return result.kind === 'answered'
+    ? judgeAnswer(result.status, result.isCut)
+    : judgeFailure(result.failure.code);
 }
 
 /** Returns who refused; undefined when no host was asked. */
--- a/packages/routing/src/host_choice.ts
+++ b/packages/routing/src/host_choice.ts
@@ -14,8 +14,8 @@
   readonly slots: number;
 }
 
-/** How an attempt ended: with an answer, with a refusal for load, or with a failure. */
-export type AttemptEnd = 'answered' | 'refused' | 'failed';
+/** How an attempt ended: with an answer, a refusal for load, a failure, or in a way that tells nothing. */
+export type AttemptEnd = 'answered' | 'refused' | 'failed' | 'neutral';
 
 /** Part of the hosts that may be left out for failures. */
 const MAX_EJECTED_SHARE = 0.5;
--- a/packages/routing/src/host_record.ts
+++ b/packages/routing/src/host_record.ts
@@ -62,6 +62,7 @@
     random: number,
   ): void {
     this.inFlight -= 1;
+    if (end === 'neutral') return;
     if (end === 'failed') {
       this.recordFailure(nowMs, random);
       return;
