Read the bound of a queue when it is needed, and measure policies on real processes

A server that announced itself before the first manifest was accepted kept a queue of one request for good: the bound was read when its policy was made. The bound is now read at each request; the test gives a bound that grows.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -8,6 +8,7 @@
 
 import {request} from 'undici';
 
+import type {SlotPolicyName} from '@dottereldrift/limits/slot_policies.js';
 import type {DaemonStatus} from '@dottereldrift/daemon/status.js';
 import type {
   BackendServerOptions,
@@ -40,6 +41,8 @@
   readonly stragglerShare: number;
   /** Program of the servers, called with service, IP number, port and daemon URL. */
   readonly serverMain?: string;
+  /** Slot policy of the daemons; the default of the settings when absent. */
+  readonly slotPolicy?: SlotPolicyName;
 }
 
 const CALLER_PORT = 7101;
@@ -261,6 +264,7 @@
       peers,
       peerKey: TEST_PEER_KEY,
       operatorKey: TEST_OPERATOR_KEY,
+      limits: {slotPolicy: this.options.slotPolicy},
     };
     writeFileSync(host.settingsPath, JSON.stringify(settings, undefined, 2));
   }
--- a/packages/bench/src/overload_policies.ts
+++ b/packages/bench/src/overload_policies.ts
@@ -34,11 +34,11 @@
 export const POLICIES: readonly NamedPolicy[] = [
   {
     name: 'fifo',
-    create: (system, slots) => new FifoPolicy(system, slots, UNBOUNDED),
+    create: (system, slots) => new FifoPolicy(system, slots, () => UNBOUNDED),
   },
   {
     name: 'fifo-256',
-    create: (system, slots) => new FifoPolicy(system, slots, BOUND),
+    create: (system, slots) => new FifoPolicy(system, slots, () => BOUND),
   },
   ...PARTS.map(([name, part]) =>
     createNamed(`only ${name}`, {...PLAIN_OPTIONS, ...part}),
@@ -67,6 +67,7 @@
 function createNamed(name: string, options: AdaptiveOptions): NamedPolicy {
   return {
     name,
-    create: (system, slots) => new AdaptivePolicy(system, slots, options),
+    create: (system, slots) =>
+      new AdaptivePolicy(system, slots, options, () => BOUND),
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -314,10 +314,10 @@
   }
 
   private createPolicy(service: string, slots: number) {
-    const maxQueued =
+    const getMaxQueued = () =>
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
     const {slotPolicy, queuedBytes} = this.settings.limits;
-    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    const bounds = {getMaxQueued, maxQueuedBytes: queuedBytes};
     return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -61,7 +61,7 @@
   async start(slots = 4): Promise<void> {
     const url = await this.server.start();
     this.pool = new Pool(url, {connections: 8});
-    const policy = new FifoPolicy(this.system, slots, 10);
+    const policy = new FifoPolicy(this.system, slots, () => 10);
     const info = {
       service: SERVICE,
       address: {ip: '127.0.0.1', port: 1},
--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -3,9 +3,8 @@
  * alone.
  */
 
-/** Which parts are in use, and the bounds of the queue. */
+/** Which parts are in use, and the bound of the bytes that wait. */
 export interface AdaptiveOptions {
-  readonly maxQueued: number;
   readonly maxQueuedBytes: number;
   /** Refuses at once what cannot finish before its deadline. */
   readonly isDeadlineChecked: boolean;
@@ -25,7 +24,6 @@
 
 /** A bounded queue in the order of arrival, and nothing else. */
 export const PLAIN_OPTIONS: AdaptiveOptions = {
-  maxQueued: 256,
   maxQueuedBytes: 16 * MEBIBYTE,
   isDeadlineChecked: false,
   reservedShare: 0,
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -40,6 +40,7 @@
     private readonly system: System,
     private slots: number,
     private readonly options: AdaptiveOptions,
+    private readonly getMaxQueued: () => number,
   ) {
     this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
     this.estimator = new WaitEstimator(this.order);
@@ -121,11 +122,11 @@
 
   /** Makes room by dropping requests of lower priority, the newest first. */
   private findSpaceRefusal(request: SlotRequest): MessageCode | undefined {
-    const {maxQueued, maxQueuedBytes} = this.options;
+    const {maxQueuedBytes} = this.options;
     if (request.bytes > maxQueuedBytes) return 'DD3011';
     for (;;) {
       const hasRoom =
-        this.queue.getSize() < maxQueued &&
+        this.queue.getSize() < this.getMaxQueued() &&
         this.queue.getBytes() + request.bytes <= maxQueuedBytes;
       if (hasRoom) return undefined;
       const victim = this.options.isWeighted
--- a/packages/limits/src/fifo_policy.ts
+++ b/packages/limits/src/fifo_policy.ts
@@ -17,7 +17,7 @@
   constructor(
     private readonly system: System,
     private slots: number,
-    private readonly maxQueued: number,
+    private readonly getMaxQueued: () => number,
   ) {}
 
   requestSlot(request: SlotRequest): () => void {
@@ -25,7 +25,7 @@
       this.startRequest(request);
       return () => {};
     }
-    if (this.queue.length >= this.maxQueued) {
+    if (this.queue.length >= this.getMaxQueued()) {
       request.onRefuse({code: 'DD3011', retryAfterMs: RETRY_AFTER_MS});
       return () => {};
     }
--- a/packages/limits/src/slot_policies.ts
+++ b/packages/limits/src/slot_policies.ts
@@ -13,7 +13,8 @@
 
 /** Bounds of a queue. */
 export interface QueueBounds {
-  readonly maxQueued: number;
+  /** Requests that may wait; read at each request, as the configuration may change. */
+  readonly getMaxQueued: () => number;
   readonly maxQueuedBytes: number;
 }
 
@@ -26,11 +27,13 @@
 ): SlotPolicy {
   switch (name) {
     case 'fifo':
-      return new FifoPolicy(system, slots, bounds.maxQueued);
+      return new FifoPolicy(system, slots, bounds.getMaxQueued);
     case 'adaptive':
-      return new AdaptivePolicy(system, slots, {
-        ...ADAPTIVE_OPTIONS,
-        ...bounds,
-      });
+      return new AdaptivePolicy(
+        system,
+        slots,
+        {...ADAPTIVE_OPTIONS, maxQueuedBytes: bounds.maxQueuedBytes},
+        bounds.getMaxQueued,
+      );
   }
 }
--- a/packages/limits/test/adaptive_policy.test.ts
+++ b/packages/limits/test/adaptive_policy.test.ts
@@ -18,11 +18,17 @@
   readonly events: string[] = [];
   private readonly policy: AdaptivePolicy;
 
-  constructor(slots: number, options: Partial<AdaptiveOptions> = {}) {
-    this.policy = new AdaptivePolicy(this.system, slots, {
-      ...ADAPTIVE_OPTIONS,
-      ...options,
-    });
+  constructor(
+    slots: number,
+    options: Partial<AdaptiveOptions> = {},
+    maxQueued = 256,
+  ) {
+    this.policy = new AdaptivePolicy(
+      this.system,
+      slots,
+      {...ADAPTIVE_OPTIONS, ...options},
+      () => maxQueued,
+    );
   }
 
   /** Sends a request that runs for its time once it has a slot. */
@@ -76,7 +82,7 @@
 });
 
 test('a full queue drops the newest of the lowest priority', t => {
-  const bench = new Bench(1, {...UNBOUNDED_WAIT, maxQueued: 2});
+  const bench = new Bench(1, UNBOUNDED_WAIT, 2);
   bench.send('first', 50);
   const low = {kind: 'low', priority: 1};
   bench.send('low 1', 50, low);
@@ -119,7 +125,7 @@
 });
 
 test('a request may ask for a slot from within a callback', t => {
-  const bench = new Bench(1, {...UNBOUNDED_WAIT, maxQueued: 1});
+  const bench = new Bench(1, UNBOUNDED_WAIT, 1);
   bench.send('first', 10);
   bench.send('waiting', 10);
   bench.send('refused', 10, {
--- a/packages/limits/test/slot_policy.test.ts
+++ b/packages/limits/test/slot_policy.test.ts
@@ -10,27 +10,46 @@
 import {ADAPTIVE_OPTIONS, PLAIN_OPTIONS} from '../src/adaptive_options.js';
 import {AdaptivePolicy} from '../src/adaptive_policy.js';
 import {FifoPolicy} from '../src/fifo_policy.js';
+import {createSlotPolicy} from '../src/slot_policies.js';
 import type {SlotPolicy} from '../src/types.js';
 import {COMMANDS, type DriverBounds, SlotDriver} from './slot_driver.js';
 
 const SEED = 20_261;
 const RUNS = 300;
 const BOUNDS: DriverBounds = {maxQueued: 8, maxQueuedBytes: 1_000};
+const {maxQueuedBytes} = BOUNDS;
+const getMaxQueued = () => BOUNDS.maxQueued;
 
 type Create = (system: System) => SlotPolicy;
 
 const POLICIES: Readonly<Record<string, Create>> = {
-  fifo: system => new FifoPolicy(system, 1, BOUNDS.maxQueued),
+  fifo: system => new FifoPolicy(system, 1, getMaxQueued),
   adaptive: system =>
-    new AdaptivePolicy(system, 1, {...ADAPTIVE_OPTIONS, ...BOUNDS}),
-  plain: system => new AdaptivePolicy(system, 1, {...PLAIN_OPTIONS, ...BOUNDS}),
+    new AdaptivePolicy(
+      system,
+      1,
+      {...ADAPTIVE_OPTIONS, maxQueuedBytes},
+      getMaxQueued,
+    ),
+  plain: system =>
+    new AdaptivePolicy(
+      system,
+      1,
+      {...PLAIN_OPTIONS, maxQueuedBytes},
+      getMaxQueued,
+    ),
   'any wait': system =>
-    new AdaptivePolicy(system, 1, {
-      ...ADAPTIVE_OPTIONS,
-      ...BOUNDS,
-      waitMultiple: 0,
-      dropMultiple: 0,
-    }),
+    new AdaptivePolicy(
+      system,
+      1,
+      {
+        ...ADAPTIVE_OPTIONS,
+        maxQueuedBytes,
+        waitMultiple: 0,
+        dropMultiple: 0,
+      },
+      getMaxQueued,
+    ),
 };
 
 for (const [name, create] of Object.entries(POLICIES)) {
@@ -51,3 +70,31 @@
     t.pass();
   });
 }
+
+for (const name of ['fifo', 'adaptive'] as const) {
+  test(`${name}: the bound of the queue follows the configuration`, t => {
+    let maxQueued = 1;
+    const system = new VirtualSystem(() => 0.5);
+    const bounds = {getMaxQueued: () => maxQueued, maxQueuedBytes};
+    const policy = createSlotPolicy(name, system, 1, bounds);
+    const sendAll = () => {
+      for (let count = 0; count < 4; count++) {
+        policy.requestSlot({
+          kind: 'read',
+          priority: 5,
+          expectedServiceMs: 1,
+          deadlineAtMs: 1_000,
+          caller: 'a',
+          bytes: 0,
+          onRun: () => {},
+          onRefuse: () => {},
+        });
+      }
+    };
+    sendAll();
+    t.is(policy.getQueued(), 1);
+    maxQueued = 3;
+    sendAll();
+    t.is(policy.getQueued(), 3);
+  });
+}
