Put links between daemons and between daemons and the store

A cut could not be brought about on real processes without privileged tools: daemons call each other at the address of their session. A link now stands in between: it relays TCP and UDP to a daemon or to the store, and stops or delays either direction for one source.

Two things in the daemon make that possible and are of use by themselves. advertisedPeerAddress is what the session names where the peer address is translated on the way. Calls and forwarded requests leave from the peer address's IP number, so that firewalls, and links, see which host sends. Weighed and left out: a hook for faults in the daemon (code for tests only), one port for each pair of hosts (the session has one address for all).

The daemon's outside now stands behind the Edges interface, so that the same wiring runs without sockets.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -13,6 +13,7 @@
   BackendServerOptions,
   RunRecord,
 } from '@dottereldrift/standins/backend_server.js';
+import {CLEAR_LINK, Link, type LinkRule} from '@dottereldrift/standins/link.js';
 import type {
   StoreCounts,
   StoreFaults,
@@ -38,6 +39,8 @@
   /** Directory for settings and records. */
   readonly directory: string;
   readonly stragglerShare: number;
+  /** Whether a link stands before each daemon and between each daemon and the store. */
+  readonly hasLinks?: boolean;
 }
 
 const CALLER_PORT = 7101;
@@ -45,6 +48,8 @@
 const SERVER_PORT = 7103;
 const OPERATOR_PORT = 7104;
 const BACKEND_PORT = 7110;
+const PEER_LINK_PORT = 7202;
+const STORE_LINK_PORT = 7205;
 const READY_TIMEOUT_MS = 60_000;
 const POLL_INTERVAL_MS = 50;
 const FIRST_NETWORK = 20;
@@ -68,6 +73,10 @@
   private storeUrl = '';
   private readonly daemons = new Map<string, FleetProcess>();
   private readonly servers = new Map<string, FleetProcess>();
+  /** For each host, the link on the way to its daemon. */
+  private readonly peerLinks = new Map<string, Link>();
+  /** For each host, the link on the way from its daemon to the store. */
+  private readonly storeLinks = new Map<string, Link>();
 
   constructor(private readonly options: FleetOptions) {
     mkdirSync(options.directory, {recursive: true});
@@ -77,6 +86,7 @@
   /** Starts everything, submits the manifest and waits until every key has an owner. */
   async start(): Promise<void> {
     await this.startStore();
+    if (this.options.hasLinks === true) await this.openLinks();
     await Promise.all(this.hosts.map(host => this.startDaemon(host)));
     await Promise.all(this.hosts.map(host => this.startServer(host)));
     await this.submitManifest(this.options.deployment.manifest);
@@ -179,6 +189,38 @@
     return (await answer.body.json()) as StoreCounts;
   }
 
+  /** Changes what passes between a host's daemon and the store. */
+  setStoreLink(host: FleetHost, rule: Partial<LinkRule>): void {
+    this.getLink(this.storeLinks, host).setRule({...CLEAR_LINK, ...rule});
+  }
+
+  /** Changes what passes from one daemon to another, and what the other answers. */
+  setPeerLink(from: FleetHost, to: FleetHost, rule: Partial<LinkRule>): void {
+    const link = this.getLink(this.peerLinks, to);
+    link.setRule({...CLEAR_LINK, ...rule}, from.ip);
+  }
+
+  /** Changes what passes between a host's daemon and every other one, as seen from the host. */
+  setHostLinks(host: FleetHost, rule: LinkRule): void {
+    const {passesRequests, passesAnswers, delayMs} = rule;
+    const reversed = {
+      passesRequests: passesAnswers,
+      passesAnswers: passesRequests,
+      delayMs,
+    };
+    for (const other of this.hosts) {
+      if (other === host) continue;
+      this.setPeerLink(host, other, rule);
+      this.setPeerLink(other, host, reversed);
+    }
+  }
+
+  /** Lets everything pass at once again. */
+  resetLinks(): void {
+    const links = [...this.peerLinks.values(), ...this.storeLinks.values()];
+    for (const link of links) link.clearRule();
+  }
+
   /** Returns every run that the servers recorded, in the order in which they started. */
   readRecords(): readonly RunRecord[] {
     const records = this.hosts.flatMap(host =>
@@ -231,6 +273,29 @@
     const all = [...this.daemons.values(), ...this.servers.values()];
     await Promise.all(all.map(process => process.kill()));
     await this.store?.kill();
+    const links = [...this.peerLinks.values(), ...this.storeLinks.values()];
+    await Promise.all(links.map(link => link.close()));
+  }
+
+  private async openLinks(): Promise<void> {
+    const storePort = Number(new URL(this.storeUrl).port);
+    for (const host of this.hosts) {
+      const {name, ip} = host;
+      const peer = new Link({ip, port: PEER_LINK_PORT}, {ip, port: PEER_PORT});
+      const store = new Link(
+        {ip, port: STORE_LINK_PORT},
+        {ip: '127.0.0.1', port: storePort},
+      );
+      await Promise.all([peer.open(), store.open()]);
+      this.peerLinks.set(name, peer);
+      this.storeLinks.set(name, store);
+    }
+  }
+
+  private getLink(links: ReadonlyMap<string, Link>, host: FleetHost): Link {
+    const link = links.get(host.name);
+    if (link === undefined) throw new Error(`${host.name} has no link.`);
+    return link;
   }
 
   private async startStore(): Promise<void> {
@@ -244,6 +309,7 @@
     const peers = this.hosts
       .slice(0, 3)
       .map(other => ({ip: other.ip, port: PEER_PORT}));
+    const hasLinks = this.options.hasLinks === true;
     const settings = {
       host: host.name,
       dataCentre: host.dataCentre,
@@ -252,7 +318,12 @@
       peerAddress: {ip: host.ip, port: PEER_PORT},
       serverAddress: {ip: host.ip, port: SERVER_PORT},
       operatorAddress: {ip: host.ip, port: OPERATOR_PORT},
-      storeUrl: this.storeUrl,
+      storeUrl: hasLinks
+        ? `http://${host.ip}:${STORE_LINK_PORT}`
+        : this.storeUrl,
+      ...(hasLinks
+        ? {advertisedPeerAddress: {ip: host.ip, port: PEER_LINK_PORT}}
+        : {}),
       peers,
       peerKey: TEST_PEER_KEY,
       operatorKey: TEST_OPERATOR_KEY,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,21 +13,20 @@
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
-import {CallBudget} from '@dottereldrift/store/call_budget.js';
-import {HttpStore} from '@dottereldrift/store/http_store.js';
+import type {ObjectStore} from '@dottereldrift/store/types.js';
 import type {Address} from '@dottereldrift/core/types.js';
 
 import {BurnReport} from './burn_report.js';
 import {Coordinator} from './coordinator.js';
-import {DatagramChannel} from './datagram_channel.js';
+import type {DatagramChannel} from './datagram_channel.js';
+import {createNetworkEdges, type Edges} from './edges.js';
 import {Entry} from './entry.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import {ExchangeFactory} from './exchange_factory.js';
-import {Forwarder} from './forwarder.js';
+import type {Forwarder} from './forwarder.js';
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
-import {PeerClients} from './peer_client.js';
 import {addPeerRoutes} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addServerRoutes} from './server_listener.js';
@@ -52,50 +51,45 @@
 
 /** Creates and starts a daemon; rejects when an address is taken. */
 export async function createDaemon(settings: Settings): Promise<Daemon> {
-  const daemon = new DaemonParts(settings, createNodeSystem());
+  const system = createNodeSystem();
+  const log = createLog('daemon', settings.log.format, settings.log.level);
+  const edges = createNetworkEdges(settings, system, log);
+  const daemon = new DaemonParts(settings, system, edges, log);
   await daemon.start();
   return daemon;
 }
 
-class DaemonParts implements Daemon {
-  private readonly log: Log;
+/** The parts of a daemon between its edges. */
+export class DaemonParts implements Daemon {
   private readonly metrics: Metrics;
-  private readonly store: HttpStore;
-  private readonly view: StoreView;
+  protected readonly store: ObjectStore;
+  protected readonly view: StoreView;
   private readonly channel: DatagramChannel;
-  private readonly takeover: Takeover;
-  private readonly keeper: SessionKeeper;
-  private readonly witnesses: WitnessKeeper;
-  private readonly registry: ServerRegistry;
-  private readonly owner: Owner;
-  private readonly mover: Mover;
+  protected readonly takeover: Takeover;
+  protected readonly keeper: SessionKeeper;
+  protected readonly witnesses: WitnessKeeper;
+  protected readonly registry: ServerRegistry;
+  protected readonly owner: Owner;
+  protected readonly mover: Mover;
   private readonly forwarder: Forwarder;
-  private readonly entry: Entry;
+  protected readonly entry: Entry;
   private readonly coordinator: Coordinator;
   private readonly report: BurnReport;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
 
   constructor(
-    private readonly settings: Settings,
-    private readonly system: System,
+    protected readonly settings: Settings,
+    protected readonly system: System,
+    private readonly edges: Edges,
+    private readonly log: Log,
   ) {
     const {limits} = settings;
-    this.log = createLog('daemon', settings.log.format, settings.log.level);
+    const {peers} = edges;
     this.metrics = createMetrics(settings.statsdAddress);
-    const budget = new CallBudget(
-      system,
-      limits.storeCallsPerSecond,
-      limits.storeCallsBurst,
-    );
-    this.store = new HttpStore(settings.storeUrl, system, budget);
+    this.store = edges.store;
     this.view = new StoreView(this.store, system, this.log.createPart('store'));
-    this.channel = new DatagramChannel(
-      settings.peerAddress,
-      settings.peerKey,
-      this.log.createPart('channel'),
-    );
-    const peers = new PeerClients(settings.peerKey);
+    this.channel = edges.channel;
     const getSelf = () => this.keeper.getMember();
     this.takeover = new Takeover(
       this.store,
@@ -110,7 +104,7 @@
         host: settings.host,
         dataCentre: settings.dataCentre,
         region: settings.region,
-        peerAddress: settings.peerAddress,
+        peerAddress: getAdvertisedAddress(settings),
         callerPort: settings.callerAddress.port,
       },
       system,
@@ -135,6 +129,7 @@
       service => this.owner.getAssignment(service),
       service => this.view.getManifest()?.manifest.services[service],
       this.log.createPart('servers'),
+      edges.createServerPool,
     );
     this.owner = new Owner(system, this.keeper, this.registry, limits);
     this.mover = new Mover(
@@ -144,7 +139,7 @@
       peers,
       this.log.createPart('mover'),
     );
-    this.forwarder = new Forwarder(system, settings.peerKey);
+    this.forwarder = edges.forwarder;
     this.entry = new Entry(
       system,
       this.view,
@@ -201,14 +196,12 @@
     await this.keeper.stop();
     this.view.stop();
     await this.registry.stop();
-    await this.forwarder.close();
-    await this.store.close();
-    this.channel.close();
+    await this.edges.close();
     this.metrics.close();
     this.log.writeInfo('The daemon has stopped.');
   }
 
-  private async openListeners(): Promise<void> {
+  protected async openListeners(): Promise<void> {
     const {settings} = this;
     const {limits} = settings;
     const factory = new ExchangeFactory(
@@ -287,7 +280,7 @@
   }
 
   /**
-   * Ends an earlier incarnation on this host. This process listens on the peer address that the
+   * Ends an earlier incarnation on this host. This process is reached at the peer address that the
    * incarnation recorded, so the process that held it is gone, and its grants lapse with its lease.
    * At any other address its witnesses must fence it.
    */
@@ -296,7 +289,7 @@
     version: number,
   ): Promise<boolean> {
     const {ip, port} = session.peerAddress;
-    const {peerAddress} = this.settings;
+    const peerAddress = getAdvertisedAddress(this.settings);
     if (ip !== peerAddress.ip || port !== peerAddress.port) {
       return this.takeover.tryEndMember(session.member);
     }
@@ -344,6 +337,11 @@
   }
 }
 
+/** Returns the address at which other daemons reach this one. */
+function getAdvertisedAddress(settings: Settings): Address {
+  return settings.advertisedPeerAddress ?? settings.peerAddress;
+}
+
 function addJsonParser(app: FastifyInstance): void {
   app.addContentTypeParser(
     'application/json',
--- a/packages/daemon/src/datagram_channel.ts
+++ b/packages/daemon/src/datagram_channel.ts
@@ -36,8 +36,17 @@
   readonly fenced: boolean;
 }
 
+/** Speaks to the other daemons by datagrams that may be lost. */
+export interface DatagramChannel {
+  /** Starts to receive; rejects when the address is taken. */
+  open(handler: DatagramHandler): Promise<void>;
+  sendHeartbeat(to: Address, heartbeat: OutgoingHeartbeat): void;
+  sendAnswer(to: Address, answer: OutgoingAnswer): void;
+  close(): void;
+}
+
 /** A UDP socket that speaks to the other daemons. */
-export class DatagramChannel {
+export class UdpChannel implements DatagramChannel {
   private readonly socket: Socket;
   private handler: DatagramHandler = () => {};
 
@@ -57,7 +66,6 @@
     });
   }
 
-  /** Binds the socket; rejects when the address is taken. */
   open(handler: DatagramHandler): Promise<void> {
     this.handler = handler;
     return new Promise((resolve, reject) => {
--- /dev/null
+++ b/packages/daemon/src/edges.ts
@@ -0,0 +1,59 @@
+/**
+ * Everything through which a daemon reaches the world outside its process, so that the decisions
+ * between run under tests without sockets.
+ */
+import type {Log} from '@dottereldrift/core/log.js';
+import type {System} from '@dottereldrift/core/system.js';
+import {CallBudget} from '@dottereldrift/store/call_budget.js';
+import {HttpStore} from '@dottereldrift/store/http_store.js';
+import type {ObjectStore} from '@dottereldrift/store/types.js';
+
+import {type DatagramChannel, UdpChannel} from './datagram_channel.js';
+import {type Forwarder, HttpForwarder} from './forwarder.js';
+import {ConnectPeerClients, type PeerClients} from './peer_client.js';
+import {createServerPool, type ServerPoolFactory} from './server_registry.js';
+import type {Settings} from './settings.js';
+
+/** The outside of a daemon. */
+export interface Edges {
+  readonly store: ObjectStore;
+  readonly channel: DatagramChannel;
+  readonly peers: PeerClients;
+  readonly forwarder: Forwarder;
+  readonly createServerPool: ServerPoolFactory;
+  /** Closes every connection. */
+  close(): Promise<void>;
+}
+
+/** Creates the edges that use the network. */
+export function createNetworkEdges(
+  settings: Settings,
+  system: System,
+  log: Log,
+): Edges {
+  const {limits, peerAddress, peerKey} = settings;
+  const budget = new CallBudget(
+    system,
+    limits.storeCallsPerSecond,
+    limits.storeCallsBurst,
+  );
+  const store = new HttpStore(settings.storeUrl, system, budget);
+  const channel = new UdpChannel(
+    peerAddress,
+    peerKey,
+    log.createPart('channel'),
+  );
+  const forwarder = new HttpForwarder(system, peerKey, peerAddress.ip);
+  return {
+    store,
+    channel,
+    peers: new ConnectPeerClients(peerKey, peerAddress.ip),
+    forwarder,
+    createServerPool,
+    close: async () => {
+      await forwarder.close();
+      await store.close();
+      channel.close();
+    },
+  };
+}
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -39,15 +39,27 @@
 const KNOWN_CODES: ReadonlySet<string> = new Set(getMessageCodes());
 
 /** Sends requests to other daemons. */
-export class Forwarder {
+export interface Forwarder {
+  /** Sends a request to a daemon and passes its answer on. */
+  forward(
+    candidate: Candidate,
+    exchange: Exchange,
+    generation: number,
+  ): Promise<AttemptResult>;
+  close(): Promise<void>;
+}
+
+/** Sends requests to other daemons over HTTP. */
+export class HttpForwarder implements Forwarder {
   private readonly pools = new Map<string, Pool>();
 
   constructor(
     private readonly system: System,
     private readonly peerKey: string,
+    /** IP number from which requests leave, so that other hosts see who sends. */
+    private readonly localIp: string,
   ) {}
 
-  /** Sends a request to a daemon and passes its answer on. */
   forward(
     candidate: Candidate,
     exchange: Exchange,
@@ -93,7 +105,7 @@
     const pool = new Pool(url, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress: this.localIp},
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/packages/daemon/src/peer_client.ts
+++ b/packages/daemon/src/peer_client.ts
@@ -16,13 +16,22 @@
 
 const MAX_CACHED_CLIENTS = 1_024;
 
-/** Creates and keeps clients of other daemons. */
-export class PeerClients {
+/** Gives clients of other daemons. */
+export interface PeerClients {
+  /** Returns the client of the daemon at an address. */
+  getClient(address: Address): PeerClient;
+}
+
+/** Creates clients that call over HTTP, and keeps them. */
+export class ConnectPeerClients implements PeerClients {
   private readonly clients = new Map<string, PeerClient>();
 
-  constructor(private readonly peerKey: string) {}
+  /** Calls leave from the IP number given, so that other hosts see who calls. */
+  constructor(
+    private readonly peerKey: string,
+    private readonly localIp: string,
+  ) {}
 
-  /** Returns the client of the daemon at an address. */
   getClient(address: Address): PeerClient {
     const url = formatUrl(address);
     const present = this.clients.get(url);
@@ -41,6 +50,7 @@
     return createConnectTransport({
       baseUrl: url,
       httpVersion: '1.1',
+      nodeOptions: {localAddress: this.localIp},
       interceptors: [authenticate],
       defaultTimeoutMs: PEER_CALL_TIMEOUT_MS,
     });
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -2,7 +2,7 @@
  * The backend servers on this host: what they announced, whether they answer, and the grants that
  * they hold.
  */
-import {Pool} from 'undici';
+import {type Dispatcher, Pool} from 'undici';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatUrl} from '@dottereldrift/core/member.js';
@@ -28,7 +28,7 @@
 /** A server on this host. */
 export interface LocalServer {
   readonly info: ServerInfo;
-  readonly pool: Pool;
+  readonly pool: Dispatcher;
   readonly policy: SlotPolicy;
 }
 
@@ -46,6 +46,9 @@
 /** Creates the policy that gives the slots of a server. */
 export type PolicyFactory = (service: ServiceName, slots: number) => SlotPolicy;
 
+/** Opens the connections to a server. */
+export type ServerPoolFactory = (info: ServerInfo) => Dispatcher;
+
 /** Keeps the servers of this host. */
 export class ServerRegistry {
   private readonly entries = new Map<ServiceName, Entry>();
@@ -63,6 +66,7 @@
       service: ServiceName,
     ) => ServiceRules | undefined,
     private readonly log: Log,
+    private readonly createPool: ServerPoolFactory = createServerPool,
   ) {}
 
   /** Takes an announcement: a new server, or a sign of life of a known one. */
@@ -80,7 +84,7 @@
     this.entries.set(info.service, {
       info,
       lastSeenMs,
-      pool: createServerPool(info),
+      pool: this.createPool(info),
       policy: this.createPolicy(info.service, info.slots),
     });
     this.log.writeInfo('A backend server announced itself.', {
@@ -229,7 +233,8 @@
   }
 }
 
-function createServerPool(info: ServerInfo): Pool {
+/** Opens the connections to a server over HTTP. */
+export function createServerPool(info: ServerInfo): Dispatcher {
   return new Pool(formatUrl(info.address), {
     connections: Math.max(1, info.connections - 1),
     pipelining: 1,
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -77,6 +77,8 @@
   region: nameSchema,
   callerAddress: addressSchema,
   peerAddress: addressSchema,
+  /** Where others reach the peer address, if it is translated on the way. */
+  advertisedPeerAddress: addressSchema.optional(),
   serverAddress: addressSchema,
   operatorAddress: addressSchema,
   storeUrl: z.url({protocol: /^http$/}),
