--- /dev/null
+++ b/packages/scenario/src/virtual_store.ts
@@ -0,0 +1,164 @@
+/**
+ * The store of a virtual deployment, as one daemon reaches it: calls travel over the network, and
+ * fail, hang, lose their answers or take effect late as the scenario says.
+ */
+import * as E from 'fp-ts/lib/Either.js';
+import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
+
+import {formatMessage} from '@dottereldrift/core/messages.js';
+import {waitFor} from '@dottereldrift/core/system.js';
+import type {CallBudget} from '@dottereldrift/store/call_budget.js';
+import type {MemoryStore} from '@dottereldrift/store/memory_store.js';
+import type {
+  ListAnswer,
+  ObjectStore,
+  ObjectVersion,
+  StoreFailure,
+  StoredObject,
+  WatchAnswer,
+} from '@dottereldrift/store/types.js';
+
+import type {VirtualNetwork, Place} from './virtual_network.js';
+
+const CALL_TIMEOUT_MS = 2_000;
+
+/** Faults of the store, which the scenario changes. */
+export interface StoreState {
+  isOut: boolean;
+  isLosingAnswers: boolean;
+  writeDelayMs: number;
+}
+
+/** The store as it is. */
+export interface SharedStore {
+  readonly place: Place;
+  readonly memory: MemoryStore;
+  readonly state: StoreState;
+  /** Waits of watches, which an outage ends. */
+  readonly outageListeners: Set<() => void>;
+  /** Called for every write that was acknowledged. */
+  readonly onAcknowledged: (key: string, value: Uint8Array) => void;
+}
+
+type Answer<T> = E.Either<StoreFailure, T>;
+
+/** The store as one process reaches it. */
+export class VirtualStore implements ObjectStore {
+  constructor(
+    private readonly self: Place,
+    private readonly network: VirtualNetwork,
+    private readonly shared: SharedStore,
+    private readonly budget: CallBudget,
+  ) {}
+
+  getObject(key: string): TaskEither<StoreFailure, StoredObject | undefined> {
+    return () => this.read(this.shared.memory.getObject(key));
+  }
+
+  listObjects(prefix: string): TaskEither<StoreFailure, ListAnswer> {
+    return () => this.read(this.shared.memory.listObjects(prefix));
+  }
+
+  updateObject(
+    key: string,
+    expectedVersion: ObjectVersion,
+    value: Uint8Array,
+  ): TaskEither<StoreFailure, ObjectVersion> {
+    const {memory, onAcknowledged} = this.shared;
+    return async () => {
+      const written = await this.write(
+        memory.updateObject(key, expectedVersion, value),
+      );
+      if (E.isRight(written)) onAcknowledged(key, value);
+      return written;
+    };
+  }
+
+  deleteObject(
+    key: string,
+    expectedVersion: ObjectVersion,
+  ): TaskEither<StoreFailure, ObjectVersion> {
+    return () =>
+      this.write(this.shared.memory.deleteObject(key, expectedVersion));
+  }
+
+  watchObjects(
+    prefix: string,
+    afterRevision: ObjectVersion,
+    waitMs: number,
+  ): TaskEither<StoreFailure, WatchAnswer> {
+    const watch = this.shared.memory.watchObjects(
+      prefix,
+      afterRevision,
+      waitMs,
+    );
+    return () => this.read(() => this.endWithOutage(watch), waitMs);
+  }
+
+  private read<T>(
+    run: () => Promise<Answer<T>>,
+    waitMs = 0,
+  ): Promise<Answer<T>> {
+    return this.call(
+      run,
+      waitMs + CALL_TIMEOUT_MS,
+      createUnavailable('no answer'),
+    );
+  }
+
+  private write<T>(run: () => Promise<Answer<T>>): Promise<Answer<T>> {
+    const {state, place} = this.shared;
+    const runLate = async () => {
+      if (state.writeDelayMs > 0)
+        await waitFor(place.process, state.writeDelayMs);
+      const answer = await run();
+      if (state.isLosingAnswers) return new Promise<Answer<T>>(() => {});
+      return answer;
+    };
+    const lost = {kind: 'unknown', text: formatMessage('DD2002')} as const;
+    return this.call(runLate, CALL_TIMEOUT_MS, lost);
+  }
+
+  private async call<T>(
+    run: () => Promise<Answer<T>>,
+    timeoutMs: number,
+    lost: StoreFailure,
+  ): Promise<Answer<T>> {
+    if (!this.budget.tryTake()) {
+      const text = formatMessage('DD2005', {
+        budget: this.budget.callsPerSecond,
+      });
+      return E.left({kind: 'budget', text});
+    }
+    const {place, state} = this.shared;
+    const runUnlessOut = () =>
+      state.isOut
+        ? Promise.resolve(E.left(createUnavailable('status 503')))
+        : run();
+    try {
+      return await this.network.call(this.self, place, timeoutMs, runUnlessOut);
+    } catch {
+      return E.left(lost);
+    }
+  }
+
+  private async endWithOutage<T>(
+    watch: () => Promise<Answer<T>>,
+  ): Promise<Answer<T>> {
+    const {outageListeners} = this.shared;
+    let listener = () => {};
+    const ended = new Promise<Answer<T>>(resolve => {
+      listener = () => {
+        resolve(E.left(createUnavailable('the connection broke')));
+      };
+    });
+    outageListeners.add(listener);
+    const answer = await Promise.race([watch(), ended]);
+    outageListeners.delete(listener);
+    return answer;
+  }
+}
+
+function createUnavailable(reason: string): StoreFailure {
+  return {kind: 'unavailable', text: formatMessage('DD2001', {reason})};
+}
--- a/packages/standins/src/backend_server.ts
+++ b/packages/standins/src/backend_server.ts
@@ -18,6 +18,8 @@
   waitFor,
 } from '@dottereldrift/core/system.js';
 
+import {type GrantBody, GrantTable} from './grant_table.js';
+
 /** What a server is. */
 export interface BackendServerOptions {
   readonly service: string;
@@ -54,13 +56,6 @@
   readonly startedAtMs: number;
 }
 
-interface GrantBody {
-  readonly generation: number;
-  readonly leaseEndUnixMs: number;
-  readonly leaseEndMonotonicMs: number;
-  readonly slices?: ReadonlyArray<readonly [number, number]>;
-}
-
 /** Header by which a load tool names a request. */
 export const REQUEST_ID_HEADER = 'request-id';
 /** Header by which a load tool sets the service time of one request, in milliseconds. */
@@ -76,10 +71,7 @@
 export class BackendServer {
   private readonly app: FastifyInstance;
   private readonly records: RunRecord[] = [];
-  private readonly granted = new Map<number, number>();
-  private generation = 0;
-  private leaseEndUnixMs = 0;
-  private leaseEndMonotonicMs = 0;
+  private readonly grants = new GrantTable();
   private running = 0;
   private readonly waiting: Array<() => void> = [];
   private isLeaving = false;
@@ -131,23 +123,13 @@
 
   private addRoutes(): void {
     this.app.put('/dottereldrift/grants/:service', (request, reply) => {
-      this.takeGrant(JSON.parse(String(request.body)) as GrantBody);
+      this.grants.takeGrant(JSON.parse(String(request.body)) as GrantBody);
       return reply.code(204).send();
     });
     this.app.get('/dottereldrift/records', () => this.records);
     this.app.all('/*', (request, reply) => this.serveRequest(request, reply));
   }
 
-  private takeGrant(grant: GrantBody): void {
-    if (grant.generation < this.generation) return;
-    this.generation = grant.generation;
-    this.leaseEndUnixMs = grant.leaseEndUnixMs;
-    this.leaseEndMonotonicMs = grant.leaseEndMonotonicMs;
-    if (grant.slices === undefined) return;
-    this.granted.clear();
-    for (const [start, token] of grant.slices) this.granted.set(start, token);
-  }
-
   private async serveRequest(
     request: FastifyRequest,
     reply: FastifyReply,
@@ -174,24 +156,7 @@
 
   private findFencingFault(request: FastifyRequest): string | undefined {
     if (!this.options.isFencing) return undefined;
-    const now = this.system.getNow();
-    const leaseEnd = Number(
-      request.headers['dottereldrift-lease-end-unix-ms'] ?? 0,
-    );
-    const monotonicEnd = Number(
-      request.headers['dottereldrift-lease-end-monotonic-ms'] ?? 0,
-    );
-    const isRenewed =
-      now.wallMs < this.leaseEndUnixMs &&
-      now.monotonicMs < this.leaseEndMonotonicMs;
-    const isCarried = now.wallMs < leaseEnd && now.monotonicMs < monotonicEnd;
-    if (!isRenewed && !isCarried) return 'the lease has lapsed';
-    const slice = request.headers['dottereldrift-slice'];
-    if (slice === undefined) return undefined;
-    const token = Number(request.headers['dottereldrift-token'] ?? 0);
-    return this.granted.get(Number(slice)) === token
-      ? undefined
-      : 'the token is not granted';
+    return this.grants.findFault(request.headers, this.system.getNow());
   }
 
   private async runRequest(
--- /dev/null
+++ b/packages/standins/src/grant_table.ts
@@ -0,0 +1,56 @@
+/**
+ * What a backend server that checks fencing tokens keeps of the grants it was given, and the check
+ * that it makes before it runs a request.
+ */
+import type {Instant} from '@dottereldrift/core/types.js';
+
+/** A grant as the daemon sends it; `slices` is absent when only the lease is renewed. */
+export interface GrantBody {
+  readonly generation: number;
+  readonly leaseEndUnixMs: number;
+  readonly leaseEndMonotonicMs: number;
+  readonly slices?: ReadonlyArray<readonly [number, number]>;
+}
+
+/** Headers of a request, by name in lower case. */
+export type RequestHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
+
+/** Grants of one server. */
+export class GrantTable {
+  private readonly granted = new Map<number, number>();
+  private generation = 0;
+  private leaseEndUnixMs = 0;
+  private leaseEndMonotonicMs = 0;
+
+  /** Takes a grant unless a higher generation is known. */
+  takeGrant(grant: GrantBody): void {
+    if (grant.generation < this.generation) return;
+    this.generation = grant.generation;
+    this.leaseEndUnixMs = grant.leaseEndUnixMs;
+    this.leaseEndMonotonicMs = grant.leaseEndMonotonicMs;
+    if (grant.slices === undefined) return;
+    this.granted.clear();
+    for (const [start, token] of grant.slices) this.granted.set(start, token);
+  }
+
+  /** Returns why a request must not run; undefined when it may. */
+  findFault(headers: RequestHeaders, now: Instant): string | undefined {
+    const leaseEnd = Number(headers['dottereldrift-lease-end-unix-ms'] ?? 0);
+    const monotonicEnd = Number(
+      headers['dottereldrift-lease-end-monotonic-ms'] ?? 0,
+    );
+    const isRenewed =
+      now.wallMs < this.leaseEndUnixMs &&
+      now.monotonicMs < this.leaseEndMonotonicMs;
+    const isCarried = now.wallMs < leaseEnd && now.monotonicMs < monotonicEnd;
+    if (!isRenewed && !isCarried) return 'the lease has lapsed';
+    const slice = headers['dottereldrift-slice'];
+    if (slice === undefined) return undefined;
+    const token = Number(headers['dottereldrift-token'] ?? 0);
+    return this.granted.get(Number(slice)) === token
+      ? undefined
+      : 'the token is not granted';
+  }
+}
