--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,7 +27,7 @@
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
-import {addPeerRoutes} from './peer_listener.js';
+import {addPeerRoutes, type PeerServiceParts} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {ServerRegistry} from './server_registry.js';
@@ -75,7 +75,7 @@
   protected readonly entry: Entry;
   private readonly coordinator: Coordinator;
   private readonly report: BurnReport;
-  private readonly listeners: FastifyInstance[] = [];
+  protected readonly listeners: Array<Pick<FastifyInstance, 'close'>> = [];
   private running: Array<Promise<void>> = [];
 
   constructor(
@@ -216,13 +216,7 @@
     const handleCaller = (exchange: Exchange) => this.entry.handle(exchange);
     addRequestRoutes(callers, 'caller', factory, handleCaller, observe);
     const peers = createListener(limits);
-    await addPeerRoutes(peers, settings.peerKey, {
-      witnesses: this.witnesses,
-      owner: this.owner,
-      mover: this.mover,
-      system: this.system,
-      getSelf: () => this.keeper.getMember(),
-    });
+    await addPeerRoutes(peers, settings.peerKey, this.getPeerServiceParts());
     const handlePeer = (exchange: Exchange) => this.owner.handle(exchange);
     addRequestRoutes(peers, 'peer', factory, handlePeer, () => {});
     const servers = createListener(limits);
@@ -251,6 +245,16 @@
     await this.listen(operators, settings.operatorAddress);
   }
 
+  protected getPeerServiceParts(): PeerServiceParts {
+    return {
+      witnesses: this.witnesses,
+      owner: this.owner,
+      mover: this.mover,
+      system: this.system,
+      getSelf: () => this.keeper.getMember(),
+    };
+  }
+
   private async listen(app: FastifyInstance, address: Address): Promise<void> {
     await app.listen({host: address.ip, port: address.port});
     this.listeners.push(app);
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -86,7 +86,7 @@
       deadlineMs: Math.round(
         exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
       ),
-      abandoned: exchange.abandoned,
+      abandonment: exchange.abandonment,
       answer: exchange.answer,
       readFailure: readPeerFailure,
       answerHeaders: {[OUTCOME_HEADER]: 'completed'},
