--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -36,6 +36,10 @@
   readonly latencyMs: number;
   /** Whether the answer names this request. */
   readonly isOwnAnswer: boolean;
+  /** Base URL of the daemon that the request was sent to. */
+  readonly target?: string;
+  /** Host of that daemon, where it is known. */
+  readonly entryHost?: string;
 }
 
 const TICK_MS = 2;
@@ -112,6 +116,7 @@
       isIdempotent: plan.isIdempotent,
       key,
       idempotencyKey,
+      target,
       dueAtMs,
       latencyMs: performance.now() - dueAtMs,
       ...answer,
--- /dev/null
+++ b/packages/bench/test/judge.test.ts
@@ -0,0 +1,134 @@
+/**
+ * Each judge sees a violation made by hand, and nothing in a run without one.
+ */
+import test from 'ava';
+
+import type {RunRecord} from '@dottereldrift/standins/backend_server.js';
+
+import {
+  type AssignmentSample,
+  type ConfigurationSample,
+  findAssignmentViolations,
+  findConfigurationViolations,
+  findLeavingViolations,
+  findOwnerViolations,
+  findShutdownViolations,
+  findViolations,
+  STORE_OBSERVER,
+} from '../src/judge.js';
+import type {LoadResult} from '../src/load.js';
+
+const RESULT: LoadResult = {
+  requestId: 'r1',
+  service: 'menu',
+  kind: 'write',
+  isIdempotent: false,
+  key: 'k',
+  idempotencyKey: 'once-1',
+  outcome: 'completed',
+  code: '',
+  status: 200,
+  dueAtMs: 0,
+  latencyMs: 1,
+  isOwnAnswer: true,
+  entryHost: 'a',
+};
+
+const RECORD: RunRecord = {
+  service: 'menu',
+  host: 'a',
+  key: 'k',
+  requestId: 'r1',
+  idempotencyKey: 'once-1',
+  slice: 0,
+  token: 5,
+  startedAtMs: 1_000,
+};
+
+const OTHER_RUN = {...RECORD, requestId: 'r2', idempotencyKey: 'once-2'};
+
+test('a run as it should be breaks nothing', t => {
+  const results = [RESULT, {...RESULT, requestId: 'r2', idempotencyKey: ''}];
+  const records = [RECORD, {...OTHER_RUN, host: 'b', token: 6}];
+  t.deepEqual(findViolations(results, records), []);
+});
+
+test('a second owner under the same or a lower token is seen', t => {
+  const same = findOwnerViolations([RECORD, {...OTHER_RUN, host: 'b'}]);
+  const lower = findOwnerViolations([RECORD, {...OTHER_RUN, token: 4}]);
+  t.is(same.length, 1);
+  t.is(lower.length, 1);
+});
+
+test('untrue outcomes and second runs are seen', t => {
+  const judge = (result: Partial<LoadResult>, records: readonly RunRecord[]) =>
+    findViolations([{...RESULT, ...result}], records).map(
+      violation => violation.promise,
+    );
+  t.deepEqual(judge({outcome: 'not-run'}, [RECORD]), ['not-run']);
+  t.deepEqual(judge({}, []), ['completed']);
+  t.deepEqual(judge({isOwnAnswer: false}, [RECORD]), ['own-answer']);
+  t.deepEqual(judge({idempotencyKey: undefined}, [RECORD, RECORD]), [
+    'at-most-once',
+  ]);
+  const repeat = {...OTHER_RUN, idempotencyKey: 'once-1'};
+  t.deepEqual(judge({}, [RECORD, repeat]), ['at-most-once']);
+});
+
+test('new work on what left more than the limit ago is seen', t => {
+  const departures = [{host: 'a', atMs: 1_000}];
+  const at = (startedAtMs: number) => [{...RECORD, startedAtMs}];
+  t.is(findLeavingViolations(at(3_999), departures).length, 0);
+  t.is(findLeavingViolations(at(4_001), departures).length, 1);
+});
+
+test('a request that a shutdown cut off is seen', t => {
+  const departures = [{host: 'a', atMs: 900, stoppedAtMs: 2_000}];
+  const judge = (result: Partial<LoadResult>, records: readonly RunRecord[]) =>
+    findShutdownViolations([{...RESULT, ...result}], records, departures, [])
+      .length;
+  t.is(judge({outcome: 'unknown', entryHost: 'b'}, [RECORD]), 1);
+  t.is(judge({outcome: 'unknown', code: 'connection'}, []), 1);
+  t.is(judge({outcome: 'unknown', code: 'DD3007'}, []), 0);
+  t.is(judge({}, [RECORD]), 0);
+});
+
+function createConfiguration(
+  host: string,
+  ...shown: ReadonlyArray<readonly [number, number]>
+): readonly ConfigurationSample[] {
+  return shown.map(([atMs, generation]) => ({host, atMs, generation}));
+}
+
+test('a configuration that reverts or comes late is seen', t => {
+  const store = createConfiguration(STORE_OBSERVER, [0, 1], [100, 2]);
+  const judge = (
+    samples: readonly ConfigurationSample[],
+    untilMs: number | undefined,
+  ) => {
+    const absences =
+      untilMs === undefined ? [] : [{host: 'a', fromMs: 50, untilMs}];
+    return findConfigurationViolations([...store, ...samples], absences).length;
+  };
+  t.is(judge(createConfiguration('a', [0, 1], [5_000, 2]), undefined), 0);
+  t.is(judge(createConfiguration('a', [0, 2], [200, 1]), undefined), 1);
+  const late = createConfiguration('a', [0, 1], [6_200, 1], [7_000, 2]);
+  t.is(judge(late, undefined), 1);
+  t.is(judge(late, 3_000), 0);
+  t.is(judge(createConfiguration('a', [0, 1], [9_100, 1]), 3_000), 1);
+});
+
+test('an assignment that is lost, goes back or differs is seen', t => {
+  const sample = (
+    observer: string,
+    generation: number,
+    digest = `digest ${generation}`,
+  ): AssignmentSample => ({observer, service: 'menu', generation, digest});
+  const stored = sample(STORE_OBSERVER, 2);
+  const judge = (...samples: readonly AssignmentSample[]) =>
+    findAssignmentViolations(samples).length;
+  t.is(judge(sample('a', 1), sample('a', 2), stored), 0);
+  t.is(judge(sample('a', 2), sample('a', 1), stored), 1);
+  t.is(judge(sample('a', 2, 'another'), stored), 1);
+  t.is(judge(sample('acknowledged', 3), stored), 1);
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -75,7 +75,7 @@
   protected readonly entry: Entry;
   private readonly coordinator: Coordinator;
   private readonly report: BurnReport;
-  protected readonly listeners: Array<Pick<FastifyInstance, 'close'>> = [];
+  protected readonly listeners: Array<{close(): PromiseLike<unknown>}> = [];
   private running: Array<Promise<void>> = [];
 
   constructor(
--- /dev/null
+++ b/packages/scenario/src/virtual_daemon.ts
@@ -0,0 +1,335 @@
+/**
+ * A daemon in virtual time: the program's own parts between edges that stand in for the network.
+ */
+import {createClient, createRouterTransport} from '@connectrpc/connect';
+import {create} from '@bufbuild/protobuf';
+
+import type {Log} from '@dottereldrift/core/log.js';
+import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
+import {waitFor} from '@dottereldrift/core/system.js';
+import type {Address, Outcome} from '@dottereldrift/core/types.js';
+import {DaemonParts} from '@dottereldrift/daemon/daemon.js';
+import type {
+  DatagramChannel,
+  DatagramHandler,
+  OutgoingAnswer,
+  OutgoingHeartbeat,
+} from '@dottereldrift/daemon/datagram_channel.js';
+import type {Edges} from '@dottereldrift/daemon/edges.js';
+import type {
+  AnswerSink,
+  AttemptResult,
+  Exchange,
+} from '@dottereldrift/daemon/exchange.js';
+import type {Forwarder} from '@dottereldrift/daemon/forwarder.js';
+import {
+  PEER_CALL_TIMEOUT_MS,
+  type PeerClient,
+  type PeerClients,
+} from '@dottereldrift/daemon/peer_client.js';
+import {addPeerService} from '@dottereldrift/daemon/peer_listener.js';
+import type {Settings} from '@dottereldrift/daemon/settings.js';
+import type {StoreView} from '@dottereldrift/daemon/store_view.js';
+import type {ServerInfo} from '@dottereldrift/membership/types.js';
+import type {ObjectStore} from '@dottereldrift/store/types.js';
+import type {Candidate} from '@dottereldrift/routing/types.js';
+import {
+  type Datagram,
+  DatagramSchema,
+  HeartbeatAnswerSchema,
+  HeartbeatSchema,
+} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
+import {PeerService} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+
+import type {VirtualProcess} from './virtual_clock.js';
+import {CallError, type Place, type VirtualNetwork} from './virtual_network.js';
+
+/** Time beyond the deadline in which the owner's own word is awaited. */
+const GRACE_MS = 30;
+const POLL_INTERVAL_MS = 5;
+
+/** Finds what listens at an address. */
+export type PeerFinder = (address: Address) => VirtualDaemon | undefined;
+
+/** An answer to a caller. */
+export interface CallerAnswer {
+  readonly outcome: Outcome;
+  readonly code: string;
+  readonly status: number;
+  readonly body: string;
+}
+
+/** The program's daemon with the doors through which others reach it. */
+export class VirtualDaemon extends DaemonParts {
+  /** Calls the peer service of this daemon. */
+  readonly peerService: PeerClient;
+  receive: DatagramHandler = () => {};
+  private isClosed = false;
+  private served = 0;
+
+  constructor(
+    readonly place: Place,
+    settings: Settings,
+    process: VirtualProcess,
+    edges: Edges,
+    log: Log,
+  ) {
+    super(settings, process, edges, log);
+    const transport = createRouterTransport(router => {
+      addPeerService(router, this.getPeerServiceParts());
+    });
+    this.peerService = createClient(PeerService, transport);
+  }
+
+  /** Returns what the daemon knows of the store. */
+  getView(): StoreView {
+    return this.view;
+  }
+
+  /** Returns the store as this daemon reaches it. */
+  getStore(): ObjectStore {
+    return this.store;
+  }
+
+  /** Returns the parts that a test may break on purpose. */
+  getParts() {
+    const {keeper, witnesses, registry, owner, entry, view, takeover} = this;
+    return {keeper, witnesses, registry, owner, entry, view, takeover};
+  }
+
+  getAddress(): Address {
+    return this.settings.peerAddress;
+  }
+
+  /** Takes an announcement of the server on the host, or its leave. */
+  receiveServer(service: string, info: ServerInfo | undefined): void {
+    if (info === undefined) this.registry.removeServer(service);
+    else this.registry.receiveAnnouncement(info);
+  }
+
+  /** Serves a request of a caller. */
+  serveCaller(
+    createExchange: (answer: AnswerSink) => Exchange,
+  ): Promise<CallerAnswer> {
+    return this.serve(async () => {
+      const answer = new CollectedAnswer();
+      const result = await this.entry.handle(createExchange(answer));
+      return createCallerAnswer(result, answer);
+    }, createRefusal('connection'));
+  }
+
+  /** Serves a request that another daemon forwarded. */
+  servePeer(exchange: Exchange): Promise<AttemptResult> {
+    const refusal = createFailedResult('not-run', 'DD3008');
+    return this.serve(() => this.owner.handle(exchange), refusal);
+  }
+
+  protected override openListeners(): Promise<void> {
+    this.listeners.push({close: () => this.closeListeners()});
+    return Promise.resolve();
+  }
+
+  private async serve<T>(run: () => Promise<T>, refusal: T): Promise<T> {
+    if (this.isClosed) return refusal;
+    this.served += 1;
+    try {
+      return await run();
+    } finally {
+      this.served -= 1;
+    }
+  }
+
+  private async closeListeners(): Promise<void> {
+    this.isClosed = true;
+    while (this.served > 0) await waitFor(this.system, POLL_INTERVAL_MS);
+  }
+}
+
+/** Datagrams between virtual daemons. */
+export class VirtualChannel implements DatagramChannel {
+  handler: DatagramHandler = () => {};
+
+  constructor(
+    private readonly self: Place,
+    private readonly address: Address,
+    private readonly network: VirtualNetwork,
+    private readonly findPeer: PeerFinder,
+  ) {}
+
+  open(handler: DatagramHandler): Promise<void> {
+    this.handler = handler;
+    return Promise.resolve();
+  }
+
+  sendHeartbeat(to: Address, heartbeat: OutgoingHeartbeat): void {
+    const sequence = BigInt(heartbeat.sequence);
+    const value = create(HeartbeatSchema, {...heartbeat, sequence});
+    const body = {case: 'heartbeat', value} as const;
+    this.send(to, create(DatagramSchema, {body}));
+  }
+
+  sendAnswer(to: Address, answer: OutgoingAnswer): void {
+    const sequence = BigInt(answer.sequence);
+    const value = create(HeartbeatAnswerSchema, {...answer, sequence});
+    const body = {case: 'heartbeatAnswer', value} as const;
+    this.send(to, create(DatagramSchema, {body}));
+  }
+
+  close(): void {
+    this.handler = () => {};
+  }
+
+  private send(to: Address, datagram: Datagram): void {
+    const peer = this.findPeer(to);
+    if (peer === undefined) return;
+    this.network.send(this.self.name, peer.place, () => {
+      peer.receive(datagram, this.address);
+    });
+  }
+}
+
+/** Calls between virtual daemons. */
+export class VirtualPeerClients implements PeerClients {
+  constructor(
+    private readonly self: Place,
+    private readonly network: VirtualNetwork,
+    private readonly findPeer: PeerFinder,
+  ) {}
+
+  getClient(address: Address): PeerClient {
+    const getMethod = (_target: object, name: string) => (request: object) =>
+      this.call(address, name, request);
+    return new Proxy({}, {get: getMethod}) as PeerClient;
+  }
+
+  private call(
+    address: Address,
+    name: string,
+    request: object,
+  ): Promise<unknown> {
+    const peer = this.findPeer(address);
+    if (peer === undefined) return Promise.reject(new CallError('refused'));
+    const service = peer.peerService as unknown as Readonly<
+      Record<string, (request: object) => Promise<unknown>>
+    >;
+    return this.network.call(
+      this.self,
+      peer.place,
+      PEER_CALL_TIMEOUT_MS,
+      () => service[name]?.(request) ?? Promise.reject(new Error(name)),
+    );
+  }
+}
+
+/** Forwarded requests between virtual daemons. */
+export class VirtualForwarder implements Forwarder {
+  constructor(
+    private readonly self: Place,
+    private readonly network: VirtualNetwork,
+    private readonly findPeer: PeerFinder,
+  ) {}
+
+  async forward(
+    candidate: Candidate,
+    exchange: Exchange,
+  ): Promise<AttemptResult> {
+    const peer = this.findPeer(candidate.peerAddress);
+    if (peer === undefined) return createFailedResult('not-run', 'DD3008');
+    const nowMs = this.self.process.getNow().monotonicMs;
+    const timeoutMs = exchange.deadlineAtMs + GRACE_MS - nowMs;
+    const answer = new CollectedAnswer();
+    try {
+      const result = await this.network.call(
+        this.self,
+        peer.place,
+        timeoutMs,
+        () => peer.servePeer({...exchange, answer}),
+      );
+      if (result.kind === 'answered') answer.pass(exchange.answer);
+      return result;
+    } catch (error) {
+      return createCallFailure(error as CallError);
+    }
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/** Keeps an answer until it is whole. */
+class CollectedAnswer implements AnswerSink {
+  status = 0;
+  isWhole = false;
+  private headers: Record<string, string | string[]> = {};
+  private readonly chunks: Buffer[] = [];
+
+  startAnswer(
+    status: number,
+    headers: Record<string, string | string[]>,
+  ): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  writeChunk(chunk: Buffer): boolean {
+    this.chunks.push(Buffer.from(chunk));
+    return true;
+  }
+
+  waitForDrain(callback: () => void): void {
+    callback();
+  }
+
+  endAnswer(): void {
+    this.isWhole = true;
+  }
+
+  abort(): void {
+    this.isWhole = false;
+  }
+
+  getBody(): string {
+    return Buffer.concat(this.chunks).toString('utf8');
+  }
+
+  /** Gives the answer to another sink. */
+  pass(sink: AnswerSink): void {
+    sink.startAnswer(this.status, this.headers);
+    for (const chunk of this.chunks) sink.writeChunk(chunk);
+    if (this.isWhole) sink.endAnswer();
+    else sink.abort();
+  }
+}
+
+function createCallerAnswer(
+  result: AttemptResult,
+  answer: CollectedAnswer,
+): CallerAnswer {
+  if (result.kind === 'failed') {
+    const {outcome, code} = result.failure;
+    return {outcome, code, status: 0, body: ''};
+  }
+  const outcome = answer.isWhole ? 'completed' : 'unknown';
+  const code = answer.isWhole ? '' : 'connection';
+  return {outcome, code, status: answer.status, body: answer.getBody()};
+}
+
+function createRefusal(code: string): CallerAnswer {
+  return {outcome: 'not-run', code, status: 0, body: ''};
+}
+
+function createCallFailure(error: CallError): AttemptResult {
+  if (error.failure === 'refused')
+    return createFailedResult('not-run', 'DD3008');
+  const code = error.failure === 'timeout' ? 'DD3007' : 'DD3009';
+  return createFailedResult('unknown', code);
+}
+
+function createFailedResult(
+  outcome: Exclude<Outcome, 'completed'>,
+  code: MessageCode,
+): AttemptResult {
+  const text = formatMessage(code);
+  return {kind: 'failed', failure: {outcome, code, text, retryAfterMs: 0}};
+}
--- /dev/null
+++ b/packages/scenario/src/virtual_host.ts
@@ -0,0 +1,192 @@
+/**
+ * One host of a virtual deployment: its daemon and its backend server, each a process of its own.
+ */
+import type {Log, LogFields} from '@dottereldrift/core/log.js';
+import {settingsSchema, type Settings} from '@dottereldrift/daemon/settings.js';
+import type {ServerInfo} from '@dottereldrift/membership/types.js';
+import type {RunRecord} from '@dottereldrift/standins/backend_server.js';
+import {CallBudget} from '@dottereldrift/store/call_budget.js';
+
+import {type VirtualClock, VirtualProcess} from './virtual_clock.js';
+import {
+  type PeerFinder,
+  VirtualChannel,
+  VirtualDaemon,
+  VirtualForwarder,
+  VirtualPeerClients,
+} from './virtual_daemon.js';
+import type {VirtualNetwork} from './virtual_network.js';
+import {VirtualServer, VirtualServerPool} from './virtual_server.js';
+import {type SharedStore, VirtualStore} from './virtual_store.js';
+
+/** What all hosts share. */
+export interface HostSurroundings {
+  readonly clock: VirtualClock;
+  readonly network: VirtualNetwork;
+  readonly store: SharedStore;
+  readonly service: string;
+  readonly findPeer: PeerFinder;
+  readonly isFencing: boolean;
+  readonly onRun: (record: RunRecord) => void;
+  readonly onLog: (host: string, sentence: string, fields: LogFields) => void;
+  readonly onDaemon: (daemon: VirtualDaemon) => void;
+}
+
+/** What a host is. */
+export interface HostIdentity {
+  readonly name: string;
+  readonly ip: string;
+  readonly dataCentre: string;
+}
+
+const REGION = 'region-1';
+const SLOTS = 6;
+const CONNECTIONS = 120;
+const PORTS = {caller: 7101, peer: 7102, server: 7103, operator: 7104};
+const SERVER_PORT = 7110;
+const TEST_KEY = 'test-key-0123456789';
+
+/** A host. */
+export class VirtualHost {
+  daemon: VirtualDaemon;
+  server: VirtualServer;
+
+  constructor(
+    readonly identity: HostIdentity,
+    private readonly surroundings: HostSurroundings,
+  ) {
+    this.server = this.createServer();
+    this.daemon = this.createDaemon();
+  }
+
+  get name(): string {
+    return this.identity.name;
+  }
+
+  /** Starts both processes. */
+  start(): void {
+    this.startDaemon();
+    this.server.start();
+  }
+
+  /** Starts those of the processes that do not run, anew. */
+  restart(): void {
+    if (!this.daemon.place.process.isRunning()) {
+      this.daemon = this.createDaemon();
+      this.startDaemon();
+    }
+    if (!this.server.place.process.isRunning()) {
+      this.server = this.createServer();
+      this.server.start();
+    }
+  }
+
+  private startDaemon(): void {
+    this.surroundings.onDaemon(this.daemon);
+    void this.daemon.start();
+  }
+
+  private createDaemon(): VirtualDaemon {
+    const {clock, network, store, findPeer} = this.surroundings;
+    const {name} = this.identity;
+    const process = new VirtualProcess(name, clock);
+    const place = {name, process};
+    const settings = this.createSettings();
+    const budget = new CallBudget(
+      process,
+      settings.limits.storeCallsPerSecond,
+      settings.limits.storeCallsBurst,
+    );
+    const address = settings.peerAddress;
+    const channel = new VirtualChannel(place, address, network, findPeer);
+    const edges = {
+      store: new VirtualStore(place, network, store, budget),
+      channel,
+      peers: new VirtualPeerClients(place, network, findPeer),
+      forwarder: new VirtualForwarder(place, network, findPeer),
+      createServerPool: () =>
+        new VirtualServerPool(place, network, this.server),
+      close: () => Promise.resolve(),
+    };
+    const log = new TraceLog((sentence, fields) => {
+      this.surroundings.onLog(name, sentence, fields);
+    });
+    const daemon = new VirtualDaemon(place, settings, process, edges, log);
+    daemon.receive = (datagram, from) => {
+      channel.handler(datagram, from);
+    };
+    return daemon;
+  }
+
+  private createServer(): VirtualServer {
+    const {clock, network, service, isFencing, onRun} = this.surroundings;
+    const {name, ip} = this.identity;
+    const placeName = `${name}/server`;
+    const place = {
+      name: placeName,
+      process: new VirtualProcess(placeName, clock),
+    };
+    const info: ServerInfo = {
+      service,
+      address: {ip, port: SERVER_PORT},
+      slots: SLOTS,
+      connections: CONNECTIONS,
+      isLeaving: false,
+    };
+    const announce = (announced: ServerInfo | undefined) => {
+      const {daemon} = this;
+      network.send(placeName, daemon.place, () => {
+        daemon.receiveServer(service, announced);
+      });
+    };
+    return new VirtualServer({
+      place,
+      host: name,
+      info,
+      isFencing,
+      onRun,
+      announce,
+    });
+  }
+
+  private createSettings(): Settings {
+    const {name, ip, dataCentre} = this.identity;
+    return settingsSchema.parse({
+      host: name,
+      dataCentre,
+      region: REGION,
+      callerAddress: {ip, port: PORTS.caller},
+      peerAddress: {ip, port: PORTS.peer},
+      serverAddress: {ip, port: PORTS.server},
+      operatorAddress: {ip, port: PORTS.operator},
+      storeUrl: 'http://127.0.0.1:1',
+      peerKey: TEST_KEY,
+      operatorKey: TEST_KEY,
+    });
+  }
+}
+
+/** Passes sentences on instead of writing them. */
+class TraceLog implements Log {
+  constructor(
+    private readonly onSentence: (sentence: string, fields: LogFields) => void,
+  ) {}
+
+  writeDebug(): void {}
+
+  writeInfo(sentence: string, fields: LogFields = {}): void {
+    this.onSentence(sentence, fields);
+  }
+
+  writeWarning(sentence: string, fields: LogFields = {}): void {
+    this.onSentence(sentence, fields);
+  }
+
+  writeError(sentence: string, fields: LogFields = {}): void {
+    this.onSentence(sentence, fields);
+  }
+
+  createPart(): Log {
+    return this;
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/virtual_traffic.ts
@@ -0,0 +1,208 @@
+/**
+ * The callers of a virtual deployment: requests at random times to random daemons; a caller that
+ * does not learn the outcome of a non-idempotent request repeats it once under its idempotency key.
+ */
+import type {LoadResult} from '@dottereldrift/bench/load.js';
+import type {Instant} from '@dottereldrift/core/types.js';
+import {Abandonment} from '@dottereldrift/daemon/abandonment.js';
+import type {Exchange} from '@dottereldrift/daemon/exchange.js';
+
+import type {Script} from './script.js';
+import type {VirtualClock} from './virtual_clock.js';
+import type {CallerAnswer, VirtualDaemon} from './virtual_daemon.js';
+import {
+  type CallError,
+  type Place,
+  type VirtualNetwork,
+} from './virtual_network.js';
+
+const MS_PER_SECOND = 1_000;
+const IDEMPOTENT_SHARE = 0.5;
+/** Share of non-idempotent requests that carry an idempotency key. */
+const KEYED_SHARE = 0.5;
+const CALLER_TIMEOUT_MS = 10_000;
+const REPEAT_DELAY_MS = 300;
+
+/** Where callers send their requests. */
+export interface Target {
+  readonly host: string;
+  readonly daemon: VirtualDaemon;
+}
+
+/** A request as its caller sees it. */
+interface CallerRequest {
+  readonly requestId: string;
+  readonly key: string;
+  readonly isIdempotent: boolean;
+  readonly idempotencyKey: string | undefined;
+  readonly sentAt: Instant;
+}
+
+/** Sends requests. */
+export class VirtualTraffic {
+  readonly results: LoadResult[] = [];
+  private sent = 0;
+  /** One in so many requests is for the hot key; none when 0. */
+  private hotOneIn = 0;
+
+  constructor(
+    private readonly script: Script,
+    private readonly clock: VirtualClock,
+    private readonly network: VirtualNetwork,
+    private readonly callers: Place,
+    private readonly listTargets: () => readonly Target[],
+  ) {}
+
+  /** Sends requests for the time that the script says. */
+  start(): void {
+    const endMs = this.clock.getElapsedMs() + this.script.durationMs;
+    const meanMs = MS_PER_SECOND / this.script.requestsPerSecond;
+    const sendNext = () => {
+      if (this.clock.getElapsedMs() >= endMs) return;
+      void this.sendOne();
+      const delayMs = -Math.log(1 - this.clock.getRandom()) * meanMs;
+      this.clock.startTimer(delayMs, sendNext);
+    };
+    sendNext();
+  }
+
+  setHotKey(oneIn: number): void {
+    this.hotOneIn = oneIn;
+  }
+
+  private async sendOne(): Promise<void> {
+    const request = this.drawRequest();
+    const first = this.drawTarget();
+    const answer = await this.tryRequest(first, request);
+    const isRepeated =
+      answer.outcome === 'unknown' && request.idempotencyKey !== undefined;
+    if (!isRepeated) {
+      this.record(request, first, answer);
+      return;
+    }
+    await new Promise<void>(resolve => {
+      this.clock.startTimer(REPEAT_DELAY_MS, resolve);
+    });
+    const second = this.drawTarget();
+    const repeated = await this.tryRequest(second, request);
+    // A repeat that was not run says nothing of the first attempt.
+    if (repeated.outcome === 'completed')
+      this.record(request, second, repeated);
+    else this.record(request, first, answer);
+  }
+
+  private drawRequest(): CallerRequest {
+    this.sent += 1;
+    const requestId = `r${this.sent}`;
+    const random = () => this.clock.getRandom();
+    const isHot = this.hotOneIn > 0 && random() < 1 / this.hotOneIn;
+    const number = isHot ? 0 : Math.floor(random() * this.script.keys);
+    const isIdempotent = random() < IDEMPOTENT_SHARE;
+    const isKeyed = !isIdempotent && random() < KEYED_SHARE;
+    return {
+      requestId,
+      key: `key-${number}`,
+      isIdempotent,
+      idempotencyKey: isKeyed ? `once-${requestId}` : undefined,
+      sentAt: this.clock.getNow(),
+    };
+  }
+
+  private drawTarget(): Target {
+    const targets = this.listTargets();
+    const index = Math.floor(this.clock.getRandom() * targets.length);
+    const target = targets[index];
+    if (target === undefined) throw new Error('There are no daemons.');
+    return target;
+  }
+
+  private async tryRequest(
+    target: Target,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    const {daemon} = target;
+    try {
+      return await this.network.call(
+        this.callers,
+        daemon.place,
+        CALLER_TIMEOUT_MS,
+        () => this.serve(daemon, request),
+      );
+    } catch (error) {
+      const {failure} = error as CallError;
+      const outcome = failure === 'refused' ? 'not-run' : 'unknown';
+      const code = failure === 'timeout' ? 'timeout' : 'connection';
+      return {outcome, code, status: 0, body: ''};
+    }
+  }
+
+  private serve(
+    daemon: VirtualDaemon,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    const rules = daemon.getView().getManifest()?.manifest.services[
+      this.script.service
+    ];
+    const kindName = request.isIdempotent ? 'read' : 'write';
+    const kind = rules?.kinds.find(other => other.name === kindName);
+    if (rules === undefined || kind === undefined) {
+      const outcome = 'not-run';
+      return Promise.resolve({outcome, code: 'DD3001', status: 0, body: ''});
+    }
+    return daemon.serveCaller(answer =>
+      this.createExchange(request, {rules, kind, answer}),
+    );
+  }
+
+  private createExchange(
+    request: CallerRequest,
+    parts: Pick<Exchange, 'rules' | 'kind' | 'answer'>,
+  ): Exchange {
+    const {key, requestId, idempotencyKey, sentAt} = request;
+    const receivedAt = this.clock.getNow();
+    return {
+      ...parts,
+      method: request.isIdempotent ? 'GET' : 'POST',
+      target: {service: this.script.service, key, path: '/'},
+      headers: {
+        'request-id': requestId,
+        'request-key': key,
+        ...(idempotencyKey === undefined
+          ? {}
+          : {'idempotency-key': idempotencyKey}),
+      },
+      body: {kind: 'none'},
+      receivedAt,
+      deadlineAtMs: receivedAt.monotonicMs + parts.kind.deadlineMs,
+      caller: 'callers',
+      idempotencyKey,
+      firstGeneration: undefined,
+      firstSentWallMs: sentAt.wallMs,
+      abandonment: new Abandonment(),
+    };
+  }
+
+  private record(
+    request: CallerRequest,
+    target: Target,
+    answer: CallerAnswer,
+  ): void {
+    const {requestId, key, isIdempotent, idempotencyKey, sentAt} = request;
+    const {outcome, code, status, body} = answer;
+    this.results.push({
+      requestId,
+      service: this.script.service,
+      kind: isIdempotent ? 'read' : 'write',
+      isIdempotent,
+      key,
+      idempotencyKey,
+      outcome,
+      code,
+      status,
+      dueAtMs: sentAt.monotonicMs,
+      latencyMs: this.clock.getNow().monotonicMs - sentAt.monotonicMs,
+      isOwnAnswer: outcome !== 'completed' || body.includes(`"${requestId}"`),
+      entryHost: target.host,
+    });
+  }
+}
--- /dev/null
+++ b/packages/scenario/src/virtual_world.ts
@@ -0,0 +1,448 @@
+/**
+ * Runs a script in virtual time: the program's own daemons over stand-ins of network, store and
+ * backend servers. The same script with the same seed leaves the same trace.
+ */
+import {createHash} from 'node:crypto';
+
+import * as E from 'fp-ts/lib/Either.js';
+
+import {
+  type Absence,
+  type AssignmentSample,
+  type ConfigurationSample,
+  type Departure,
+  STORE_OBSERVER,
+} from '@dottereldrift/bench/judge.js';
+import {
+  ACCEPTED_MANIFEST_KEY,
+  DRAIN_PREFIX,
+  SUBMITTED_MANIFEST_KEY,
+} from '@dottereldrift/daemon/store_view.js';
+import type {AcceptedManifest} from '@dottereldrift/manifest/types.js';
+import {
+  ASSIGNMENT_PREFIX,
+  encodeAssignment,
+  getAssignmentKey,
+  parseAssignment,
+} from '@dottereldrift/ownership/assignment_record.js';
+import {getOwnedSlices} from '@dottereldrift/ownership/slices.js';
+import type {RunRecord} from '@dottereldrift/standins/backend_server.js';
+import {MemoryStore} from '@dottereldrift/store/memory_store.js';
+import type {ObjectStore} from '@dottereldrift/store/types.js';
+
+import type {Evidence} from './evidence.js';
+import {createManifest} from './manifest.js';
+import type {Action, HostPart, Script} from './script.js';
+import {VirtualClock, VirtualProcess} from './virtual_clock.js';
+import type {VirtualDaemon} from './virtual_daemon.js';
+import {VirtualHost} from './virtual_host.js';
+import {STORE_PLACE, VirtualNetwork} from './virtual_network.js';
+import type {SharedStore} from './virtual_store.js';
+import {VirtualTraffic} from './virtual_traffic.js';
+
+/** How a run differs from the program as it is; tests break one rule at a time. */
+export interface WorldOptions {
+  readonly seed: number;
+  /** Called with every daemon before it starts. */
+  readonly onDaemon?: (daemon: VirtualDaemon) => void;
+  /** Whether servers check grants. */
+  readonly isFencing?: boolean;
+  /** Called with the store before the traffic starts. */
+  readonly onStore?: (memory: MemoryStore) => void;
+}
+
+const READY_STEP_MS = 100;
+const READY_LIMIT_MS = 30_000;
+const SAMPLE_INTERVAL_MS = 250;
+const RETRY_INTERVAL_MS = 500;
+/** Time after the traffic for the last answers and for the last configuration. */
+const SETTLE_MS = 12_000;
+const SERVER_GRACE_MS = 3_000;
+
+/** Runs a script. */
+export async function runVirtually(
+  script: Script,
+  options: WorldOptions,
+): Promise<Evidence> {
+  const world = new VirtualWorld(script, options);
+  return world.run();
+}
+
+class VirtualWorld {
+  private readonly clock: VirtualClock;
+  private readonly network: VirtualNetwork;
+  private readonly store: SharedStore;
+  private readonly hosts: readonly VirtualHost[];
+  private readonly traffic: VirtualTraffic;
+  private readonly records: RunRecord[] = [];
+  private readonly departures: Departure[] = [];
+  private readonly absences: Absence[] = [];
+  private readonly configurations: ConfigurationSample[] = [];
+  private readonly assignments: AssignmentSample[] = [];
+  private readonly trace: string[] = [];
+  /** Since when hosts are away, by what took them away. */
+  private readonly awaySince = new Map<string, number>();
+  private startedAtMs = 0;
+  private editions = 1;
+
+  constructor(
+    private readonly script: Script,
+    private readonly options: WorldOptions,
+  ) {
+    this.clock = new VirtualClock(options.seed);
+    this.network = new VirtualNetwork(this.clock);
+    this.store = this.createStore();
+    this.hosts = this.createHosts();
+    const callers = {
+      name: 'callers',
+      process: new VirtualProcess('callers', this.clock),
+    };
+    this.traffic = new VirtualTraffic(
+      script,
+      this.clock,
+      this.network,
+      callers,
+      () => this.hosts.map(host => ({host: host.name, daemon: host.daemon})),
+    );
+  }
+
+  async run(): Promise<Evidence> {
+    for (const host of this.hosts) host.start();
+    void this.applyManifest(
+      this.getHost(0),
+      createManifest(this.script.service, 0),
+    );
+    await this.waitUntilReady();
+    this.options.onStore?.(this.store.memory);
+    this.startedAtMs = this.clock.getNow().monotonicMs;
+    this.traffic.start();
+    this.startSampling();
+    for (const {atMs, text, action} of this.script.actions) {
+      this.clock.startTimer(atMs, () => {
+        this.trace.push(this.formatLine(`-- ${text}`));
+        this.apply(action);
+      });
+    }
+    const endMs =
+      this.clock.getElapsedMs() + this.script.durationMs + SETTLE_MS;
+    await this.clock.runUntil(endMs);
+    this.endAbsences();
+    return {
+      results: this.traffic.results,
+      records: this.records,
+      departures: this.departures,
+      absences: this.absences,
+      configurations: this.configurations,
+      assignments: this.assignments,
+      startedAtMs: this.startedAtMs,
+      trace: this.trace,
+    };
+  }
+
+  private createStore(): SharedStore {
+    const process = new VirtualProcess(STORE_PLACE, this.clock);
+    return {
+      place: {name: STORE_PLACE, process},
+      memory: new MemoryStore(this.clock),
+      state: {isOut: false, isLosingAnswers: false, writeDelayMs: 0},
+      outageListeners: new Set(),
+      onAcknowledged: (key, value) => {
+        if (key.startsWith(ASSIGNMENT_PREFIX))
+          this.addAssignment('acknowledged', value);
+      },
+    };
+  }
+
+  private createHosts(): readonly VirtualHost[] {
+    const {service, hosts, dataCentres} = this.script;
+    const surroundings = {
+      clock: this.clock,
+      network: this.network,
+      store: this.store,
+      service,
+      isFencing: this.options.isFencing ?? true,
+      findPeer: ({ip}: {readonly ip: string}) =>
+        this.hosts.find(host => host.identity.ip === ip)?.daemon,
+      onRun: (record: RunRecord) => {
+        this.records.push(record);
+      },
+      onLog: (host: string, sentence: string) => {
+        this.trace.push(this.formatLine(`${host}: ${sentence}`));
+      },
+      onDaemon: (daemon: VirtualDaemon) => this.options.onDaemon?.(daemon),
+    };
+    return Array.from({length: hosts}, (_, index) => {
+      const identity = {
+        name: `${service}-${index + 1}`,
+        ip: `10.0.0.${index + 1}`,
+        dataCentre: `dc${(index % dataCentres) + 1}`,
+      };
+      return new VirtualHost(identity, surroundings);
+    });
+  }
+
+  private async waitUntilReady(): Promise<void> {
+    while (!this.isReady()) {
+      if (this.clock.getElapsedMs() > READY_LIMIT_MS)
+        throw new Error(`Not ready:\n${this.trace.join('\n')}`);
+      await this.clock.runUntil(this.clock.getElapsedMs() + READY_STEP_MS);
+    }
+  }
+
+  private isReady(): boolean {
+    return this.hosts.every(host => {
+      const {view, keeper} = host.daemon.getParts();
+      const slices =
+        view.getAssignment(this.script.service)?.assignment.slices ?? [];
+      const owned = getOwnedSlices(slices, keeper.getMember());
+      return keeper.isHeld() && owned.length > 0;
+    });
+  }
+
+  private apply(action: Action): void {
+    switch (action.kind) {
+      case 'kill':
+        return this.killHost(this.findHost(action.host), action.part);
+      case 'start':
+        this.findHost(action.host).restart();
+        return this.endAbsence(action.host, 'kill');
+      case 'freeze':
+        return this.freezeHost(this.findHost(action.host), action.part);
+      case 'continue':
+        return this.continueHost(this.findHost(action.host));
+      case 'cut':
+        return this.cutHost(action.host, action.lost);
+      case 'cut-store':
+        this.network.cutPath(action.host, STORE_PLACE);
+        this.network.cutPath(STORE_PLACE, action.host);
+        return this.startAbsence(action.host, 'cut');
+      case 'delay':
+        return this.network.setDelayMs(action.host, action.delayMs);
+      case 'restore':
+        this.network.reset();
+        for (const host of this.hosts) this.endAbsence(host.name, 'cut');
+        return;
+      case 'hot-key':
+        return this.traffic.setHotKey(action.oneIn);
+      default:
+        this.applyPlanned(action);
+    }
+  }
+
+  private applyPlanned(action: Action): void {
+    const {state, outageListeners} = this.store;
+    switch (action.kind) {
+      case 'store-outage':
+        state.isOut = action.isOut;
+        if (action.isOut) for (const end of outageListeners) end();
+        return;
+      case 'store-lost-answers':
+        state.isLosingAnswers = action.isLosing;
+        return;
+      case 'store-write-delay':
+        state.writeDelayMs = action.delayMs;
+        return;
+      case 'apply':
+        this.applyNextManifest(0);
+        return;
+      case 'race':
+        this.applyNextManifest(0);
+        this.applyNextManifest(this.hosts.length - 1);
+        return;
+      case 'drain':
+        void this.drainHost(action.host);
+        return;
+      case 'server-leaves':
+        this.addDeparture(action.host);
+        void this.findHost(action.host).server.drain(SERVER_GRACE_MS);
+        return;
+      case 'shutdown':
+        void this.shutDown(this.findHost(action.host));
+        return;
+      default:
+        throw new Error(`${action.kind} is not known.`);
+    }
+  }
+
+  private killHost(host: VirtualHost, part: HostPart): void {
+    if (part !== 'server') {
+      host.daemon.place.process.kill();
+      this.startAbsence(host.name, 'kill');
+    }
+    if (part !== 'daemon') host.server.place.process.kill();
+  }
+
+  private freezeHost(host: VirtualHost, part: HostPart): void {
+    if (part !== 'server') {
+      host.daemon.place.process.freeze();
+      this.startAbsence(host.name, 'freeze');
+    }
+    if (part !== 'daemon') host.server.place.process.freeze();
+  }
+
+  private continueHost(host: VirtualHost): void {
+    host.daemon.place.process.continue();
+    host.server.place.process.continue();
+    this.endAbsence(host.name, 'freeze');
+  }
+
+  private cutHost(name: string, lost: 'both' | 'incoming' | 'outgoing'): void {
+    const others = this.hosts.map(host => host.name);
+    for (const other of [...others, STORE_PLACE]) {
+      if (other === name) continue;
+      if (lost !== 'incoming') this.network.cutPath(name, other);
+      if (lost !== 'outgoing') this.network.cutPath(other, name);
+    }
+    this.startAbsence(name, 'cut');
+  }
+
+  private async drainHost(name: string): Promise<void> {
+    const host = this.findOperatorHost(name);
+    const key = `${DRAIN_PREFIX}${name}`;
+    const value = Buffer.from(JSON.stringify({host: name}));
+    await this.retry(async () => {
+      const written = await host.daemon
+        .getStore()
+        .updateObject(key, 0, value)();
+      return E.isRight(written) || written.left.kind === 'conflict';
+    });
+    this.addDeparture(name);
+  }
+
+  private async shutDown(host: VirtualHost): Promise<void> {
+    const atMs = this.clock.getNow().monotonicMs;
+    await host.daemon.stop();
+    host.daemon.place.process.kill();
+    const stoppedAtMs = this.clock.getNow().monotonicMs;
+    this.departures.push({host: host.name, atMs, stoppedAtMs});
+    this.trace.push(this.formatLine(`-- the daemon on ${host.name} ended`));
+  }
+
+  private applyNextManifest(hostIndex: number): void {
+    this.editions += 1;
+    const manifest = createManifest(this.script.service, this.editions);
+    void this.applyManifest(this.getHost(hostIndex), manifest);
+  }
+
+  /** What a pipeline does: writes what it has, and after a refusal again; a race has one winner. */
+  private async applyManifest(
+    host: VirtualHost,
+    manifest: unknown,
+  ): Promise<void> {
+    const value = Buffer.from(JSON.stringify(manifest));
+    await this.retry(async () => {
+      const store: ObjectStore = host.daemon.getStore();
+      const read = await store.getObject(SUBMITTED_MANIFEST_KEY)();
+      if (E.isLeft(read)) return false;
+      const version = read.right?.version ?? 0;
+      const written = await store.updateObject(
+        SUBMITTED_MANIFEST_KEY,
+        version,
+        value,
+      )();
+      return E.isRight(written) || written.left.kind === 'conflict';
+    });
+  }
+
+  private async retry(tryOnce: () => Promise<boolean>): Promise<void> {
+    while (!(await tryOnce())) {
+      await new Promise<void>(resolve => {
+        this.clock.startTimer(RETRY_INTERVAL_MS, resolve);
+      });
+    }
+  }
+
+  private startSampling(): void {
+    this.sample();
+    this.clock.startTimer(SAMPLE_INTERVAL_MS, () => {
+      this.startSampling();
+    });
+  }
+
+  private sample(): void {
+    const atMs = this.clock.getNow().monotonicMs;
+    for (const {name, daemon} of this.hosts) {
+      const {process} = daemon.place;
+      if (!process.isRunning() || this.awaySince.has(`${name} freeze`))
+        continue;
+      const generation = daemon.getView().getManifest()?.generation ?? 0;
+      this.configurations.push({host: name, atMs, generation});
+      for (const {assignment} of daemon.getView().getAssignments())
+        this.addAssignment(name, encodeAssignment(assignment));
+    }
+    void this.sampleStore(atMs);
+  }
+
+  private async sampleStore(atMs: number): Promise<void> {
+    const {memory} = this.store;
+    const accepted = await memory.getObject(ACCEPTED_MANIFEST_KEY)();
+    if (E.isRight(accepted) && accepted.right !== undefined) {
+      const text = Buffer.from(accepted.right.value).toString('utf8');
+      const {generation} = JSON.parse(text) as AcceptedManifest;
+      this.configurations.push({host: STORE_OBSERVER, atMs, generation});
+    }
+    const key = getAssignmentKey(this.script.service);
+    const assignment = await memory.getObject(key)();
+    if (E.isRight(assignment) && assignment.right !== undefined)
+      this.addAssignment(STORE_OBSERVER, assignment.right.value);
+  }
+
+  private addAssignment(observer: string, value: Uint8Array): void {
+    const {service, generation} = parseAssignment(value);
+    const digest = createHash('sha256').update(value).digest('base64url');
+    this.assignments.push({observer, service, generation, digest});
+  }
+
+  private addDeparture(host: string): void {
+    this.departures.push({host, atMs: this.clock.getNow().monotonicMs});
+  }
+
+  private startAbsence(host: string, cause: string): void {
+    const nowMs = this.clock.getNow().monotonicMs;
+    const name = `${host} ${cause}`;
+    if (!this.awaySince.has(name)) this.awaySince.set(name, nowMs);
+  }
+
+  private endAbsence(host: string, cause: string): void {
+    const fromMs = this.awaySince.get(`${host} ${cause}`);
+    if (fromMs === undefined) return;
+    this.awaySince.delete(`${host} ${cause}`);
+    const untilMs = this.clock.getNow().monotonicMs;
+    this.absences.push({host, fromMs, untilMs});
+  }
+
+  private endAbsences(): void {
+    for (const name of [...this.awaySince.keys()]) {
+      const [host = '', cause = ''] = name.split(' ');
+      this.endAbsence(host, cause);
+    }
+  }
+
+  /** Operators speak to a daemon that is neither away nor the one concerned. */
+  private findOperatorHost(concerned: string): VirtualHost {
+    const away = new Set(
+      [...this.awaySince.keys()].map(name => name.split(' ')[0]),
+    );
+    const found = this.hosts.find(
+      host => host.name !== concerned && !away.has(host.name),
+    );
+    return found ?? this.getHost(0);
+  }
+
+  private findHost(name: string): VirtualHost {
+    const host = this.hosts.find(other => other.name === name);
+    if (host === undefined) throw new Error(`There is no host ${name}.`);
+    return host;
+  }
+
+  private getHost(index: number): VirtualHost {
+    const host = this.hosts[index];
+    if (host === undefined) throw new Error('There are too few hosts.');
+    return host;
+  }
+
+  private formatLine(text: string): string {
+    const seconds = this.clock.getNow().monotonicMs - this.startedAtMs;
+    return `${(seconds / 1_000).toFixed(1)} ${text}`;
+  }
+}
