Refuse work to a server that leaves although it was not moved; end watches sooner

Cause: the owner admitted requests until its slices were moved. It now refuses 2.5 s after the server or the host began to leave. - A daemon cut off from the store had an old configuration 6 s after the path was whole again. Cause: a watch of 25 s whose connection had been lost is noticed only when it ends. Watches now wait 3 s.

--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -8,7 +8,7 @@
 import {createLog} from '@dottereldrift/core/log.js';
 import {hashKey} from '@dottereldrift/core/ring_hash.js';
 import type {Member} from '@dottereldrift/core/types.js';
-import {DatagramChannel} from '@dottereldrift/daemon/datagram_channel.js';
+import {UdpChannel} from '@dottereldrift/daemon/datagram_channel.js';
 import {IdempotencyWindow} from '@dottereldrift/limits/idempotency_window.js';
 import {
   encodeSession,
@@ -175,8 +175,8 @@
   const log = createLog('bench', 'hidden', 'error');
   const witnessAddress = {ip: CHANNEL_IP, port: await findFreePort()};
   const holderAddress = {ip: CHANNEL_IP, port: await findFreePort()};
-  const witness = new DatagramChannel(witnessAddress, 'bench-key', log);
-  const holder = new DatagramChannel(holderAddress, 'bench-key', log);
+  const witness = new UdpChannel(witnessAddress, 'bench-key', log);
+  const holder = new UdpChannel(holderAddress, 'bench-key', log);
   let answered = 0;
   await witness.open((datagram, from) => {
     const sequence =
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,7 +30,7 @@
 import {addPeerRoutes, type PeerServiceParts} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addServerRoutes} from './server_listener.js';
-import {ServerRegistry} from './server_registry.js';
+import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import type {Settings} from './settings.js';
 import {StatusReader} from './status.js';
@@ -45,8 +45,6 @@
 }
 
 const SHUTDOWN_LIMIT_MS = 30_000;
-/** Time after which a leaving daemon takes no new work even if its slices are not moved. */
-const LEAVING_ADMISSION_MS = 3_000;
 const SHUTDOWN_POLL_MS = 20;
 
 /** Creates and starts a daemon; rejects when an address is taken. */
@@ -280,6 +278,7 @@
     for (const {assignment} of this.view.getAssignments())
       this.owner.applyAssignment(assignment);
     this.witnesses.dropEnded();
+    this.registry.setDraining(this.view.isDraining(this.settings.host));
     this.registry.sendGrants();
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -160,6 +160,8 @@
     const server = this.registry.getServer(service);
     if (server === undefined)
       return refuse('DD3024', SHORT_RETRY_MS, {service});
+    if (!this.registry.isAccepting(service))
+      return refuse('DD3021', SHORT_RETRY_MS);
     const state = this.getState(service);
     const position = getPosition(exchange);
     if (position === undefined)
@@ -232,6 +234,8 @@
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server, slice} = admitted;
     if (!this.keeper.isHeld()) return fail(refuse('DD3016', SHORT_RETRY_MS));
+    if (!this.registry.isAccepting(exchange.target.service))
+      return fail(refuse('DD3021', SHORT_RETRY_MS));
     const nowMs = this.system.getNow().monotonicMs;
     const isKept =
       exchange.idempotencyKey !== undefined && !exchange.kind.idempotent;
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -19,6 +19,9 @@
 /** Silence after which a server that announced itself is taken for lost. */
 export const SERVER_SILENCE_MS = 3_000;
 
+/** Time after which what leaves gets no new work, even if its slices could not be moved. */
+export const LEAVING_ADMISSION_MS = 2_500;
+
 const CHECK_INTERVAL_MS = 250;
 const GRANT_TIMEOUT_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 500;
@@ -34,6 +37,8 @@
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
+  /** When the server first said that it leaves; undefined while it stays. */
+  readonly leavingSinceMs: number | undefined;
 }
 
 interface GrantState {
@@ -54,6 +59,7 @@
   private readonly entries = new Map<ServiceName, Entry>();
   private readonly grants = new Map<ServiceName, GrantState>();
   private isStopped = false;
+  private drainingSinceMs: number | undefined;
 
   constructor(
     private readonly system: System,
@@ -74,7 +80,15 @@
     const present = this.entries.get(info.service);
     const lastSeenMs = this.system.getNow().monotonicMs;
     if (present !== undefined && isSameAddress(present.info, info)) {
-      this.entries.set(info.service, {...present, info, lastSeenMs});
+      const leavingSinceMs = info.isLeaving
+        ? (present.leavingSinceMs ?? lastSeenMs)
+        : undefined;
+      this.entries.set(info.service, {
+        ...present,
+        info,
+        lastSeenMs,
+        leavingSinceMs,
+      });
       present.policy.setSlots(info.slots);
       if (!isSameInfo(present.info, info)) this.publishServers();
       return;
@@ -84,6 +98,7 @@
     this.entries.set(info.service, {
       info,
       lastSeenMs,
+      leavingSinceMs: info.isLeaving ? lastSeenMs : undefined,
       pool: this.createPool(info),
       policy: this.createPolicy(info.service, info.slots),
     });
@@ -101,6 +116,8 @@
     this.entries.set(service, {
       ...present,
       info: {...present.info, isLeaving: true},
+      leavingSinceMs:
+        present.leavingSinceMs ?? this.system.getNow().monotonicMs,
     });
     this.publishServers();
     return true;
@@ -112,6 +129,23 @@
     this.publishServers();
   }
 
+  /** Takes note of whether operators drain this host. */
+  setDraining(isDraining: boolean): void {
+    this.drainingSinceMs = isDraining
+      ? (this.drainingSinceMs ?? this.system.getNow().monotonicMs)
+      : undefined;
+  }
+
+  /** Tells whether a server may still be given work: it stays, or began to leave a moment ago. */
+  isAccepting(service: ServiceName): boolean {
+    const nowMs = this.system.getNow().monotonicMs;
+    const sinceMs = Math.min(
+      this.entries.get(service)?.leavingSinceMs ?? Infinity,
+      this.drainingSinceMs ?? Infinity,
+    );
+    return nowMs - sinceMs < LEAVING_ADMISSION_MS;
+  }
+
   getServer(service: ServiceName): LocalServer | undefined {
     return this.entries.get(service);
   }
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -39,7 +39,11 @@
 /** Prefix of the keys of drains in the store. */
 export const DRAIN_PREFIX = 'drains/';
 
-const WATCH_WAIT_MS = 25_000;
+/**
+ * Longest wait of one watch. A watch whose connection broke unseen is noticed only when it ends, so
+ * this and the store's grace together stay below the time in which a configuration is in force.
+ */
+const WATCH_WAIT_MS = 3_000;
 const RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2_000;
 
--- a/packages/scenario/src/virtual_clock.ts
+++ b/packages/scenario/src/virtual_clock.ts
@@ -65,7 +65,7 @@
   /** Lets time pass until a time since the start. */
   async runUntil(endMs: number): Promise<void> {
     for (;;) {
-      await flushPromises();
+      await runPromises();
       const next = this.timers[this.timers.length - 1];
       if (next === undefined || next.atMs > endMs) break;
       this.timers.pop();
@@ -166,6 +166,6 @@
 }
 
 /** Carries on everything that waits on promises only. */
-function flushPromises(): Promise<void> {
+function runPromises(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
--- a/packages/scenario/src/virtual_world.ts
+++ b/packages/scenario/src/virtual_world.ts
@@ -257,7 +257,7 @@
         void this.findHost(action.host).server.drain(SERVER_GRACE_MS);
         return;
       case 'shutdown':
-        void this.shutDown(this.findHost(action.host));
+        void this.stopDaemon(this.findHost(action.host));
         return;
       default:
         throw new Error(`${action.kind} is not known.`);
@@ -309,7 +309,7 @@
     this.addDeparture(name);
   }
 
-  private async shutDown(host: VirtualHost): Promise<void> {
+  private async stopDaemon(host: VirtualHost): Promise<void> {
     const atMs = this.clock.getNow().monotonicMs;
     await host.daemon.stop();
     host.daemon.place.process.kill();
