--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -77,7 +77,7 @@
         getMember: () => this.member,
         getEnd: () => ({monotonicMs: 5_000, wallMs: 1_700_000_005_000}),
       },
-      {getServer: () => local, isGranted: () => true},
+      {getServer: () => local, isGranted: () => true, isAccepting: () => true},
       LIMITS,
     );
     this.applySlice({});
