--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -70,7 +70,10 @@
 export type LeaseView = Pick<SessionKeeper, 'isHeld' | 'getMember' | 'getEnd'>;
 
 /** What an owner needs to know of the servers on its host. */
-export type ServerView = Pick<ServerRegistry, 'getServer' | 'isGranted'>;
+export type ServerView = Pick<
+  ServerRegistry,
+  'getServer' | 'isGranted' | 'isAccepting'
+>;
 
 /** Runs requests on this host's backend servers. */
 export class Owner {
@@ -172,6 +175,8 @@
     const server = this.registry.getServer(service);
     if (server === undefined)
       return refuse('DD3024', SHORT_RETRY_MS, {service});
+    if (!this.registry.isAccepting(service))
+      return refuse('DD3021', SHORT_RETRY_MS);
     const state = this.getState(service);
     const position = getPosition(exchange);
     if (position === undefined)
@@ -304,6 +309,8 @@
     const isSameRun = this.services.get(service) === state;
     if (!this.keeper.isHeld() || !isSameRun)
       return refuse('DD3016', SHORT_RETRY_MS);
+    if (!this.registry.isAccepting(service))
+      return refuse('DD3021', SHORT_RETRY_MS);
     if (slice === undefined) return undefined;
     const answer = state.gate.checkPosition(position);
     if (answer.kind === 'not-owned' || answer.slice.token !== slice.token)
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -52,7 +52,11 @@
   });
 }
 
-function addPeerService(router: ConnectRouter, parts: PeerServiceParts): void {
+/** Adds the peer service to a router. */
+export function addPeerService(
+  router: ConnectRouter,
+  parts: PeerServiceParts,
+): void {
   router.service(PeerService, {
     fence: request => {
       const target = parseMember(request.target);
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -2,7 +2,7 @@
  * The backend servers on this host: what they announced, whether they answer, and the grants that
  * they hold.
  */
-import {Pool} from 'undici';
+import {type Dispatcher, Pool} from 'undici';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatUrl} from '@dottereldrift/core/member.js';
@@ -19,6 +19,9 @@
 /** Silence after which a server that announced itself is taken for lost. */
 export const SERVER_SILENCE_MS = 3_000;
 
+/** Time after which what leaves gets no new work, even if its slices could not be moved. */
+export const LEAVING_ADMISSION_MS = 2_500;
+
 const CHECK_INTERVAL_MS = 250;
 const GRANT_TIMEOUT_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 500;
@@ -28,12 +31,14 @@
 /** A server on this host. */
 export interface LocalServer {
   readonly info: ServerInfo;
-  readonly pool: Pool;
+  readonly pool: Dispatcher;
   readonly policy: SlotPolicy;
 }
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
+  /** When the server first said that it leaves; undefined while it stays. */
+  readonly leavingSinceMs: number | undefined;
 }
 
 interface GrantState {
@@ -46,11 +51,15 @@
 /** Creates the policy that gives the slots of a server. */
 export type PolicyFactory = (service: ServiceName, slots: number) => SlotPolicy;
 
+/** Opens the connections to a server. */
+export type ServerPoolFactory = (info: ServerInfo) => Dispatcher;
+
 /** Keeps the servers of this host. */
 export class ServerRegistry {
   private readonly entries = new Map<ServiceName, Entry>();
   private readonly grants = new Map<ServiceName, GrantState>();
   private isStopped = false;
+  private drainingSinceMs: number | undefined;
 
   constructor(
     private readonly system: System,
@@ -63,6 +72,7 @@
       service: ServiceName,
     ) => ServiceRules | undefined,
     private readonly log: Log,
+    private readonly createPool: ServerPoolFactory = createServerPool,
   ) {}
 
   /** Takes an announcement: a new server, or a sign of life of a known one. */
@@ -70,7 +80,15 @@
     const present = this.entries.get(info.service);
     const lastSeenMs = this.system.getNow().monotonicMs;
     if (present !== undefined && isSameAddress(present.info, info)) {
-      this.entries.set(info.service, {...present, info, lastSeenMs});
+      const leavingSinceMs = info.isLeaving
+        ? (present.leavingSinceMs ?? lastSeenMs)
+        : undefined;
+      this.entries.set(info.service, {
+        ...present,
+        info,
+        lastSeenMs,
+        leavingSinceMs,
+      });
       present.policy.setSlots(info.slots);
       if (!isSameInfo(present.info, info)) this.publishServers();
       return;
@@ -80,7 +98,8 @@
     this.entries.set(info.service, {
       info,
       lastSeenMs,
-      pool: createServerPool(info),
+      leavingSinceMs: info.isLeaving ? lastSeenMs : undefined,
+      pool: this.createPool(info),
       policy: this.createPolicy(info.service, info.slots),
     });
     this.log.writeInfo('A backend server announced itself.', {
@@ -97,6 +116,8 @@
     this.entries.set(service, {
       ...present,
       info: {...present.info, isLeaving: true},
+      leavingSinceMs:
+        present.leavingSinceMs ?? this.system.getNow().monotonicMs,
     });
     this.publishServers();
     return true;
@@ -108,6 +129,23 @@
     this.publishServers();
   }
 
+  /** Takes note of whether operators drain this host. */
+  setDraining(isDraining: boolean): void {
+    this.drainingSinceMs = isDraining
+      ? (this.drainingSinceMs ?? this.system.getNow().monotonicMs)
+      : undefined;
+  }
+
+  /** Tells whether a server may still be given work: it stays, or began to leave a moment ago. */
+  isAccepting(service: ServiceName): boolean {
+    const nowMs = this.system.getNow().monotonicMs;
+    const sinceMs = Math.min(
+      this.entries.get(service)?.leavingSinceMs ?? Infinity,
+      this.drainingSinceMs ?? Infinity,
+    );
+    return nowMs - sinceMs < LEAVING_ADMISSION_MS;
+  }
+
   getServer(service: ServiceName): LocalServer | undefined {
     return this.entries.get(service);
   }
@@ -229,7 +267,8 @@
   }
 }
 
-function createServerPool(info: ServerInfo): Pool {
+/** Opens the connections to a server over HTTP. */
+export function createServerPool(info: ServerInfo): Dispatcher {
   return new Pool(formatUrl(info.address), {
     connections: Math.max(1, info.connections - 1),
     pipelining: 1,
