--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -1,7 +1,7 @@
 /**
  * Commands and their flags. Exit codes: 0 done, 1 failed, 2 bad usage or bad input.
  */
-import {readFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 
 import * as E from 'fp-ts/lib/Either.js';
 import sade from 'sade';
@@ -18,6 +18,7 @@
   OperatorClient,
   type OperatorFlags,
 } from './operator_client.js';
+import {formatReportPage} from './report_html.js';
 import {formatReport, formatStatus} from './tables.js';
 
 /** Version of the program. */
@@ -36,6 +37,10 @@
   readonly json?: boolean;
 }
 
+interface ReportFlags extends OutputFlags {
+  readonly html?: string;
+}
+
 interface ApplyFlags extends OperatorFlags {
   readonly 'if-version'?: number;
 }
@@ -172,13 +177,19 @@
   ).action((host: string, flags: OutputFlags) =>
     print(flags, client => client.call('POST', `/fence/${host}`), formatJson),
   );
-  addOperatorCommand(
-    program,
-    'report',
-    'Print the burn of service levels.',
-  ).action((flags: OutputFlags) =>
-    print(flags, client => client.call('GET', '/report'), formatReport),
-  );
+  addOperatorCommand(program, 'report', 'Print the burn of service levels.')
+    .option('--html', 'File for a page with plots')
+    .action((flags: ReportFlags) =>
+      print(
+        flags,
+        client => client.call('GET', '/report'),
+        value => {
+          if (flags.html !== undefined)
+            writeFileSync(flags.html, formatReportPage(value));
+          return formatReport(value);
+        },
+      ),
+    );
 }
 
 function addOperatorCommand(
--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -73,6 +73,7 @@
     'good',
     'bad',
     'burn',
+    'level',
   ];
   const rows = reports.flatMap(report =>
     report.windows.map(window => [
@@ -83,6 +84,7 @@
       String(window.good),
       String(window.bad),
       window.burn.toFixed(2),
+      report.level,
     ]),
   );
   return formatTable([titles, ...rows]);
--- a/packages/daemon/src/burn_report.ts
+++ b/packages/daemon/src/burn_report.ts
@@ -5,9 +5,21 @@
 
 import type {AttemptResult, Exchange} from './exchange.js';
 
-const BUCKET_MS = 10_000;
-const WINDOWS_MS: readonly number[] = [60_000, 300_000, 3_600_000];
-const KEPT_BUCKETS = 3_600_000 / BUCKET_MS;
+const MINUTE_MS = 60_000;
+const BUCKET_MS = MINUTE_MS;
+const KEPT_BUCKETS = 360;
+const BUCKETS_IN_POINT = 5;
+
+const SHORT_WINDOW_MS = 5 * MINUTE_MS;
+const HALF_HOUR_MS = 30 * MINUTE_MS;
+const HOUR_MS = 60 * MINUTE_MS;
+const LONG_WINDOW_MS = 360 * MINUTE_MS;
+const WINDOWS_MS = [SHORT_WINDOW_MS, HALF_HOUR_MS, HOUR_MS, LONG_WINDOW_MS];
+
+/** Burn that spends 2% of the error budget of 30 days in an hour. */
+const FAST_BURN = 14.4;
+/** Burn that spends 5% of the error budget of 30 days in six hours. */
+const SLOW_BURN = 6;
 
 /** Burn over one window. 1 spends the error budget exactly as fast as the objective allows. */
 export interface WindowBurn {
@@ -17,12 +29,27 @@
   readonly burn: number;
 }
 
+/** Counts of one stretch of the last hours. */
+export interface BurnPoint {
+  /** Time from the start of the stretch until now. */
+  readonly ageMs: number;
+  readonly good: number;
+  readonly bad: number;
+}
+
+/** Whether the error budget is spent so fast that someone should look. */
+export type BurnLevel = 'none' | 'slow' | 'fast';
+
 /** Report on one kind of request. */
 export interface KindReport {
   readonly service: string;
   readonly kind: string;
   readonly objective: number;
+  /** A burn counts when a long and a short window agree. */
+  readonly level: BurnLevel;
   readonly windows: readonly WindowBurn[];
+  /** The oldest first; stretches without requests are left out. */
+  readonly points: readonly BurnPoint[];
 }
 
 interface Bucket {
@@ -60,15 +87,8 @@
 
   readReport(): readonly KindReport[] {
     const nowNumber = Math.floor(this.system.getNow().monotonicMs / BUCKET_MS);
-    return [...this.series.values()].map(
-      ({service, kind, objective, buckets}) => ({
-        service,
-        kind,
-        objective,
-        windows: WINDOWS_MS.map(windowMs =>
-          sumWindow(buckets, nowNumber, windowMs, objective),
-        ),
-      }),
+    return [...this.series.values()].map(series =>
+      createKindReport(series, nowNumber),
     );
   }
 
@@ -91,6 +111,45 @@
   }
 }
 
+function createKindReport(series: Series, nowNumber: number): KindReport {
+  const {service, kind, objective, buckets} = series;
+  const windows = WINDOWS_MS.map(windowMs =>
+    sumWindow(buckets, nowNumber, windowMs, objective),
+  );
+  const level = judgeBurn(windows);
+  const points = sumPoints(buckets, nowNumber);
+  return {service, kind, objective, level, windows, points};
+}
+
+function judgeBurn(windows: readonly WindowBurn[]): BurnLevel {
+  const isBurning = (windowMs: number, burn: number) =>
+    windows.some(window => window.windowMs === windowMs && window.burn >= burn);
+  if (isBurning(HOUR_MS, FAST_BURN) && isBurning(SHORT_WINDOW_MS, FAST_BURN))
+    return 'fast';
+  const isSlow =
+    isBurning(LONG_WINDOW_MS, SLOW_BURN) && isBurning(HALF_HOUR_MS, SLOW_BURN);
+  return isSlow ? 'slow' : 'none';
+}
+
+function sumPoints(
+  buckets: readonly Bucket[],
+  nowNumber: number,
+): readonly BurnPoint[] {
+  const points = new Map<number, BurnPoint>();
+  for (const {number, good, bad} of buckets) {
+    const age = Math.floor((nowNumber - number) / BUCKETS_IN_POINT);
+    if (age * BUCKETS_IN_POINT >= KEPT_BUCKETS) continue;
+    const ageMs = (age + 1) * BUCKETS_IN_POINT * BUCKET_MS;
+    const point = points.get(age) ?? {ageMs, good: 0, bad: 0};
+    points.set(age, {
+      ageMs,
+      good: point.good + good,
+      bad: point.bad + bad,
+    });
+  }
+  return [...points.values()];
+}
+
 function sumWindow(
   buckets: readonly Bucket[],
   nowNumber: number,
