--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -156,7 +156,8 @@
         retentionMs: 1e9,
       });
       for (let index = 0; index < count; index++) {
-        window.startRequest(`once-${index}`, hashKey(`key-${index}`), index);
+        const name = {idempotencyKey: `once-${index}`, fingerprint: ''};
+        window.startRequest(name, hashKey(`key-${index}`), index);
       }
       return window;
     });
