--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
   type System,
   waitFor,
 } from '@dottereldrift/core/system.js';
-import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
@@ -280,16 +280,18 @@
         from,
       );
     } else if (body.case === 'heartbeatAnswer') {
-      const {witnessHost, witnessIncarnation, sequence, fenced} = body.value;
+      const {host, incarnation, sequence, fenced} = body.value;
+      const {witnessHost, witnessIncarnation} = body.value;
       const witness = {host: witnessHost, incarnation: witnessIncarnation};
-      this.keeper.receiveAnswer(witness, Number(sequence), fenced);
+      const target = {host, incarnation};
+      this.keeper.receiveAnswer(target, witness, Number(sequence), fenced);
     }
   }
 
   private applyView(): void {
     for (const {assignment} of this.view.getAssignments())
       this.owner.applyAssignment(assignment);
-    this.witnesses.dropEnded();
+    this.witnesses.fenceEnded();
     this.registry.sendGrants();
   }
 
@@ -314,7 +316,9 @@
   private createPolicy(service: string, slots: number) {
     const maxQueued =
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
-    return new FifoPolicy(this.system, slots, maxQueued);
+    const {slotPolicy, queuedBytes} = this.settings.limits;
+    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
   private observe(exchange: Exchange, result: AttemptResult): void {
