Send requests of embedded clients straight to the owner's daemon

A client learns the routes of a service from any daemon (GET /routes/SERVICE on the callers' listener), stamps what is not idempotent with the generation and time of the first send, and learns new routes when an answer names a later generation.

--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -183,6 +183,8 @@
     const sequence =
       datagram.body.case === 'heartbeat' ? datagram.body.value.sequence : 0n;
     witness.sendAnswer(from, {
+      host: 'host-0000',
+      incarnation: 'abcdefgh0000',
       witnessHost: 'host-0001',
       witnessIncarnation: 'abcdefgh0001',
       sequence: Number(sequence),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,6 +31,7 @@
 import {PeerClients} from './peer_client.js';
 import {addPeerRoutes} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
+import {addRouteRoutes} from './route_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
@@ -234,6 +235,7 @@
       this.observe(exchange, result);
     };
     const handleCaller = (exchange: Exchange) => this.entry.handle(exchange);
+    addRouteRoutes(callers, this.view);
     addRequestRoutes(callers, 'caller', factory, handleCaller, observe);
     const peers = createListener(limits);
     await addPeerRoutes(peers, settings.peerKey, {
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -76,7 +76,10 @@
       answer: exchange.answer,
       readFailure: (_status, headers) =>
         readPeerFailure(headers, candidate.member.host, exchange),
-      answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+      answerHeaders: {
+        [OUTCOME_HEADER]: 'completed',
+        ...(generation > 0 ? {[GENERATION_HEADER]: String(generation)} : {}),
+      },
       keepBytes: 0,
     });
   }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -2,13 +2,7 @@
  * The owner's stage of a request: checks lease and slice, looks the idempotency key up, waits for a
  * slot, sends the request to the backend server on this host and notes how it ended.
  */
-import {getErrorText} from '@dottereldrift/core/errors.js';
 import {hashKey} from '@dottereldrift/core/ring_hash.js';
-import {
-  formatMessage,
-  type MessageCode,
-  type MessageValues,
-} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
 import {
@@ -27,7 +21,9 @@
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import type {AttemptResult, Exchange} from './exchange.js';
+import {createDefect, fail, refuse} from './failures.js';
 import {
+  GENERATION_HEADER,
   getHeader,
   type HeaderMap,
   LEASE_END_HEADER,
@@ -200,7 +196,10 @@
     const looked = window.startRequest(name, position, nowMs);
     if (looked.kind === 'full') return fail(refuse('DD3019', FULL_RETRY_MS));
     if (looked.kind === 'mismatch') return fail(refuse('DD3029', 0));
-    if (looked.kind === 'known') return answerRepeat(exchange, looked.state);
+    if (looked.kind === 'known') {
+      const headers = createAnswerHeaders(admitted);
+      return answerRepeat(exchange, looked.state, headers);
+    }
     if (!this.isNew(admitted, idempotencyKey)) {
       window.cancelRequest(name.idempotencyKey);
       return fail({...refuse('DD3018', 0), outcome: 'unknown'});
@@ -289,7 +288,7 @@
       answer: exchange.answer,
       findLateRefusal: () => this.findLateRefusal(admitted),
       readFailure: readServerRefusal,
-      answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+      answerHeaders: createAnswerHeaders(admitted),
       keepBytes: isKept ? this.limits.keptAnswerBytes : 0,
     });
   }
@@ -358,9 +357,12 @@
   return hashKey(idempotencyKey);
 }
 
-function createDefect(error: unknown): AttemptResult {
-  const text = formatMessage('DD3099', {reason: getErrorText(error)});
-  return fail({outcome: 'unknown', code: 'DD3099', text, retryAfterMs: 0});
+/** The generation lets embedded clients see that their routes are old. */
+function createAnswerHeaders({slice, state}: Admitted): Record<string, string> {
+  const outcome = {[OUTCOME_HEADER]: 'completed'};
+  if (slice === undefined) return outcome;
+  const generation = state.gate.getAssignment()?.generation ?? 0;
+  return {...outcome, [GENERATION_HEADER]: String(generation)};
 }
 
 function readServerRefusal(
@@ -385,20 +387,3 @@
     deadlineMs,
   });
 }
-
-function refuse(
-  code: MessageCode,
-  retryAfterMs: number,
-  values: MessageValues = {},
-): AttemptFailure {
-  return {
-    outcome: 'not-run',
-    code,
-    text: formatMessage(code, values),
-    retryAfterMs,
-  };
-}
-
-function fail(failure: AttemptFailure): AttemptResult {
-  return {kind: 'failed', failure};
-}
--- a/packages/daemon/src/repeats.ts
+++ b/packages/daemon/src/repeats.ts
@@ -13,7 +13,6 @@
 } from '@dottereldrift/limits/idempotency_window.js';
 
 import type {AttemptResult, Exchange, RequestBody} from './exchange.js';
-import {OUTCOME_HEADER} from './headers.js';
 
 /** Time after which a repeat of a running request is worth another try. */
 const REPEAT_RETRY_MS = 50;
@@ -50,10 +49,11 @@
 export function answerRepeat(
   exchange: Exchange,
   state: EntryState,
+  answerHeaders: Readonly<Record<string, string>>,
 ): AttemptResult {
   if (state.kind === 'running') return failUnknown('DD3020', REPEAT_RETRY_MS);
   if (state.kind === 'unknown') return failUnknown('DD3018', 0);
-  return replayAnswer(exchange, state.answer);
+  return replayAnswer(exchange, state.answer, answerHeaders);
 }
 
 /** Notes how a request ended. */
@@ -78,11 +78,15 @@
   }
 }
 
-function replayAnswer(exchange: Exchange, kept: KeptAnswer): AttemptResult {
+function replayAnswer(
+  exchange: Exchange,
+  kept: KeptAnswer,
+  answerHeaders: Readonly<Record<string, string>>,
+): AttemptResult {
   if (kept.body === undefined) return failUnknown('DD3027', 0);
   exchange.answer.startAnswer(kept.status, {
     ...groupPairs(kept.headerPairs),
-    [OUTCOME_HEADER]: 'completed',
+    ...answerHeaders,
   });
   if (kept.body.byteLength > 0)
     exchange.answer.writeChunk(Buffer.from(kept.body));
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -13,7 +13,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
-import {createMessage, formatMessage} from '@dottereldrift/core/messages.js';
+import {createMessage} from '@dottereldrift/core/messages.js';
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import {
@@ -24,6 +24,7 @@
 } from './answer_writer.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import {createDefect} from './failures.js';
 import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Limits} from './settings.js';
 
@@ -176,15 +177,6 @@
   return code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400;
 }
 
-/** A defect of this program ends one request, never the process; the request may have run. */
-function createDefect(error: unknown): AttemptResult {
-  const text = formatMessage('DD3099', {reason: getErrorText(error)});
-  return {
-    kind: 'failed',
-    failure: {outcome: 'unknown', code: 'DD3099', text, retryAfterMs: 0},
-  };
-}
-
 function createProblem(failure: AttemptFailure): Problem {
   const {outcome, code, text, retryAfterMs, ownerGeneration} = failure;
   return {
