--- a/packages/bench/test/outcomes.process.test.ts
+++ b/packages/bench/test/outcomes.process.test.ts
@@ -26,6 +26,8 @@
   readonly requestId: string;
   readonly outcome: Outcome;
   readonly isOwnAnswer: boolean;
+  /** What told it: the code of a message, or how the connection failed. */
+  readonly reason: string;
 }
 
 function createSmallDeployment(): Deployment {
@@ -38,6 +40,12 @@
   return {...full, services, traffic, manifest: {services: {menu}}};
 }
 
+interface CopyResult {
+  readonly outcome: Outcome;
+  readonly text: string;
+  readonly reason: string;
+}
+
 /** Sends every request twice at the same moment, by two ways. */
 class PairLoad {
   readonly told: Told[] = [];
@@ -106,20 +114,20 @@
       'request-id': requestId,
       'request-key': key,
     };
-    const {outcome, text} =
+    const {outcome, text, reason} =
       host === undefined
         ? await this.sendByClient(key, idempotencyKey, headers)
         : await this.sendTo(host, key, idempotencyKey, headers);
     const isOwnAnswer =
       outcome !== 'completed' || text.includes(`"pair-${number}-`);
-    this.told.push({requestId, outcome, isOwnAnswer});
+    this.told.push({requestId, outcome, isOwnAnswer, reason});
   }
 
   private async sendByClient(
     key: string,
     idempotencyKey: string,
     headers: Readonly<Record<string, string>>,
-  ): Promise<{readonly outcome: Outcome; readonly text: string}> {
+  ): Promise<CopyResult> {
     const result = await this.client.send({
       service: 'menu',
       key,
@@ -134,7 +142,9 @@
       result.outcome === 'completed'
         ? Buffer.from(result.body).toString()
         : result.text;
-    return {outcome: result.outcome, text};
+    const reason =
+      result.outcome === 'completed' ? '' : `client ${result.code}`;
+    return {outcome: result.outcome, text, reason};
   }
 
   private async sendTo(
@@ -142,7 +152,7 @@
     key: string,
     idempotencyKey: string,
     headers: Readonly<Record<string, string>>,
-  ): Promise<{readonly outcome: Outcome; readonly text: string}> {
+  ): Promise<CopyResult> {
     try {
       const answer = await this.agent.request({
         origin: this.fleet.getCallerUrl(host),
@@ -159,9 +169,13 @@
       });
       const text = await answer.body.text();
       const outcome = answer.headers['dottereldrift-outcome'] ?? 'unknown';
-      return {outcome: outcome as Outcome, text};
-    } catch {
-      return {outcome: 'unknown', text: ''};
+      const reason = String(answer.headers['dottereldrift-code'] ?? '');
+      return {outcome: outcome as Outcome, text, reason};
+    } catch (error) {
+      const isRefused =
+        (error as {readonly code?: string}).code === 'ECONNREFUSED';
+      const outcome = isRefused ? 'not-run' : 'unknown';
+      return {outcome, text: '', reason: String(error)};
     }
   }
 }
@@ -226,7 +240,8 @@
     await load.waitForPairs(150);
     await load.stop();
     const counts = countBy(load.told.map(({outcome}) => outcome));
-    t.log(Object.fromEntries(counts));
+    const reasons = load.told.map(told => `${told.outcome} ${told.reason}`);
+    t.log(Object.fromEntries(countBy(reasons)));
     t.deepEqual(findFaults(load.told, fleet.readRecords()), []);
     t.true((counts.get('completed') ?? 0) > 1_000);
     t.deepEqual(fleet.getLastWords(), []);
--- a/packages/daemon/test/datagram_channel.test.ts
+++ b/packages/daemon/test/datagram_channel.test.ts
@@ -10,7 +10,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 
-import {DatagramChannel} from '../src/datagram_channel.js';
+import {UdpChannel} from '../src/datagram_channel.js';
 
 const KEY = 'a key of the fleet';
 const TAG_BYTES = 16;
@@ -32,7 +32,7 @@
 
 test('garbage and wrong keys are dropped, and the next heartbeat arrives', async t => {
   const address = await findFreeAddress();
-  const channel = new DatagramChannel(address, KEY, LOG);
+  const channel = new UdpChannel(address, KEY, LOG);
   const received: string[] = [];
   let notify = () => {};
   await channel.open(datagram => {
@@ -56,13 +56,9 @@
     // The socket's buffer is small; let the channel read before the next sample.
     await new Promise(resolve => setImmediate(resolve));
   }
-  const stranger = new DatagramChannel(
-    await findFreeAddress(),
-    'another key',
-    LOG,
-  );
+  const stranger = new UdpChannel(await findFreeAddress(), 'another key', LOG);
   stranger.sendHeartbeat(address, HEARTBEAT);
-  const friend = new DatagramChannel(await findFreeAddress(), KEY, LOG);
+  const friend = new UdpChannel(await findFreeAddress(), KEY, LOG);
   await new Promise<void>(resolve => {
     notify = () => {
       if (received.includes('heartbeat')) resolve();
