--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -32,6 +32,12 @@
 
 const ROUTE_WAIT_MS = 10;
 
+/** What an entry needs to know of the fleet. */
+export type RouteView = Pick<
+  StoreView,
+  'getAssignment' | 'getSession' | 'getLiveSessions' | 'isDraining'
+>;
+
 interface Budgets {
   readonly failures: RetryBudget;
   readonly refusals: RetryBudget;
@@ -45,9 +51,9 @@
 
   constructor(
     private readonly system: System,
-    private readonly view: StoreView,
-    private readonly owner: Owner,
-    private readonly forwarder: Forwarder,
+    private readonly view: RouteView,
+    private readonly owner: Pick<Owner, 'handle'>,
+    private readonly forwarder: Pick<Forwarder, 'forward'>,
     private readonly selfHost: string,
   ) {}
 
--- /dev/null
+++ b/packages/daemon/test/entry.test.ts
@@ -0,0 +1,225 @@
+/**
+ * The entry's loop under a clock that tests move: what is told after several attempts, and how much
+ * load refusals and failures add.
+ */
+import {PassThrough} from 'node:stream';
+
+import test from 'ava';
+
+import type {RequestKind} from '@dottereldrift/manifest/types.js';
+import type {Session} from '@dottereldrift/membership/types.js';
+import type {Assignment} from '@dottereldrift/ownership/types.js';
+import type {AttemptFailure} from '@dottereldrift/routing/types.js';
+
+import {Abandonment} from '../src/abandonment.js';
+import {Entry} from '../src/entry.js';
+import type {AttemptResult, Exchange} from '../src/exchange.js';
+import {Upload} from '../src/upload.js';
+import {ManualSystem, RecordingSink} from './fakes.js';
+
+const SERVICE = 'menu';
+const DEADLINE_MS = 1_000;
+const STEP_MS = 5;
+const MAX_EXTRA_SHARE = 0.1;
+const SAVED_REFUSALS = 100;
+const KIND: RequestKind = {
+  name: 'any',
+  match: {},
+  idempotent: true,
+  deadlineMs: DEADLINE_MS,
+  maxAttempts: 3,
+  priority: 5,
+  expectedServiceMs: 10,
+  objective: 0.99,
+};
+const ANSWERED: AttemptResult = {kind: 'answered', status: 200, isCut: false};
+
+function createFailed(
+  outcome: AttemptFailure['outcome'],
+  code: AttemptFailure['code'],
+  ownerGeneration = 0,
+): AttemptResult {
+  const failure = {outcome, code, text: '', retryAfterMs: 0, ownerGeneration};
+  return {kind: 'failed', failure};
+}
+
+function createSession(host: string): Session {
+  return {
+    member: {host, incarnation: '1'},
+    peerAddress: {ip: '127.0.0.1', port: 1},
+    isEnded: false,
+    isLeaving: false,
+    servers: [],
+  } as unknown as Session;
+}
+
+class Bench {
+  readonly system = new ManualSystem();
+  readonly sentTo: string[] = [];
+  generation = 1;
+  ownerHost = 'b';
+  /** What the daemons answer, given the number of the attempt. */
+  answer: (attempt: number) => AttemptResult = () => ANSWERED;
+  readonly entry = new Entry(
+    this.system,
+    {
+      getAssignment: () => ({assignment: this.createAssignment(), version: 1}),
+      getSession: host => ({session: createSession(host), version: 1}),
+      getLiveSessions: () => [createSession('b'), createSession('c')],
+      isDraining: () => false,
+    },
+    {handle: () => Promise.resolve(this.recordAttempt('local'))},
+    {
+      forward: candidate =>
+        Promise.resolve(this.recordAttempt(candidate.member.host)),
+    },
+    'a',
+  );
+
+  async send(change: Partial<Exchange> = {}): Promise<string> {
+    const result = await this.entry.handle(this.createExchange(change));
+    return result.kind === 'answered'
+      ? String(result.status)
+      : `${result.failure.outcome} ${result.failure.code}`;
+  }
+
+  /** Moves the clock on until a promise has settled. */
+  async settle<T>(promise: Promise<T>): Promise<T> {
+    let isOver = false;
+    void promise.finally(() => {
+      isOver = true;
+    });
+    for (;;) {
+      await new Promise(resolve => setImmediate(resolve));
+      if (isOver) return promise;
+      this.system.shift(STEP_MS);
+    }
+  }
+
+  private recordAttempt(host: string): AttemptResult {
+    return this.answer(this.sentTo.push(host));
+  }
+
+  private createAssignment(): Assignment {
+    const owner = {host: this.ownerHost, incarnation: '1'};
+    const slice = {
+      start: 0,
+      owner,
+      token: 1,
+      nextOwner: undefined,
+      recordsSince: 0,
+    };
+    const {generation} = this;
+    return {service: SERVICE, generation, slices: [slice], writer: owner};
+  }
+
+  private createExchange(change: Partial<Exchange>): Exchange {
+    const now = this.system.getNow();
+    return {
+      method: 'GET',
+      target: {service: SERVICE, key: 'floor-1', path: '/'},
+      rules: {
+        division: 'byKey',
+        fencing: 'checked',
+        maxRunMs: 1_000,
+        slicesPerServer: 1,
+        maxQueued: 10,
+        kinds: [KIND],
+      },
+      kind: KIND,
+      headers: {},
+      body: {kind: 'none'},
+      receivedAt: now,
+      deadlineAtMs: now.monotonicMs + DEADLINE_MS,
+      caller: '',
+      idempotencyKey: undefined,
+      firstGeneration: undefined,
+      firstSentWallMs: undefined,
+      answer: new RecordingSink(),
+      abandonment: new Abandonment(),
+      ...change,
+    };
+  }
+}
+
+test('a refusal after an attempt that may have run is told as unknown', async t => {
+  const bench = new Bench();
+  bench.answer = attempt =>
+    attempt === 1
+      ? createFailed('unknown', 'DD3009')
+      : createFailed('not-run', 'DD3011');
+  t.is(await bench.settle(bench.send()), 'unknown DD3011');
+  t.is(bench.sentTo.length, 2);
+});
+
+test('what is not idempotent is sent again after a refusal, never after it may have run', async t => {
+  const kind = {...KIND, idempotent: false};
+  const bench = new Bench();
+  bench.answer = () => createFailed('unknown', 'DD3009');
+  t.is(await bench.settle(bench.send({kind})), 'unknown DD3009');
+  t.is(bench.sentTo.length, 1);
+  bench.answer = attempt =>
+    attempt === 2 ? createFailed('not-run', 'DD3016') : ANSWERED;
+  t.is(await bench.settle(bench.send({kind})), '200');
+  t.is(bench.sentTo.length, 3);
+});
+
+test('a streamed body is sent again only while nothing of it was read', async t => {
+  const bench = new Bench();
+  const upload = new Upload(new PassThrough(), 100);
+  const body = {kind: 'stream', upload} as const;
+  bench.answer = attempt => {
+    if (attempt === 2) upload.createStream().read(0);
+    return createFailed('not-run', 'DD3005');
+  };
+  t.is(await bench.settle(bench.send({body})), 'not-run DD3005');
+  t.is(bench.sentTo.length, 2);
+});
+
+test('nothing is sent while the owner knows a later generation; a new owner is asked at once', async t => {
+  const bench = new Bench();
+  bench.answer = attempt =>
+    attempt === 1 ? createFailed('not-run', 'DD3017', 5) : ANSWERED;
+  const sent = bench.send();
+  await new Promise(resolve => setImmediate(resolve));
+  for (let step = 0; step < 20; step++) {
+    bench.system.shift(STEP_MS);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  t.deepEqual(bench.sentTo, ['b']);
+  bench.generation = 5;
+  bench.ownerHost = 'c';
+  t.is(await bench.settle(sent), '200');
+  t.deepEqual(bench.sentTo, ['b', 'c']);
+});
+
+test('a request waits for a route until its deadline', async t => {
+  const bench = new Bench();
+  bench.ownerHost = 'a';
+  bench.answer = () => createFailed('not-run', 'DD3016');
+  t.is(await bench.settle(bench.send()), 'not-run DD3016');
+  t.true(bench.sentTo.every(host => host === 'local'));
+});
+
+for (const [name, result] of [
+  ['refused', createFailed('not-run', 'DD3005')],
+  ['unknown', createFailed('unknown', 'DD3009')],
+] as const) {
+  test(`the extra load stays under a tenth when everything is ${name}`, async t => {
+    const bench = new Bench();
+    bench.answer = () => result;
+    const requests = 4_000;
+    const sent: Array<Promise<string>> = [];
+    for (let number = 0; number < requests; number++) {
+      sent.push(bench.send());
+      if (number % 20 === 0) {
+        bench.system.shift(STEP_MS);
+        await new Promise(resolve => setImmediate(resolve));
+      }
+    }
+    await bench.settle(Promise.all(sent));
+    const extra = bench.sentTo.length - requests - SAVED_REFUSALS;
+    t.true(extra / requests < MAX_EXTRA_SHARE);
+    t.is(bench.system.countTimers(), 0);
+  });
+}
