--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -3,9 +3,8 @@
  * alone.
  */
 
-/** Which parts are in use, and the bounds of the queue. */
+/** Which parts are in use, and the bound of the bytes that wait. */
 export interface AdaptiveOptions {
-  readonly maxQueued: number;
   readonly maxQueuedBytes: number;
   /** Refuses at once what cannot finish before its deadline. */
   readonly isDeadlineChecked: boolean;
@@ -17,28 +16,21 @@
   readonly waitMultiple: number;
   /** Longest time that a request waits, in multiples of its usual service time; 0 for any. */
   readonly dropMultiple: number;
-  /** Serves the newest request first. */
-  readonly isNewestFirst: boolean;
   /** Gives callers turns. */
   readonly isFair: boolean;
-  /** Time in which a new server's slots grow from one to all; 0 for at once. */
-  readonly slowStartMs: number;
 }
 
 const MEBIBYTE = 1_024 * 1_024;
 
 /** A bounded queue in the order of arrival, and nothing else. */
 export const PLAIN_OPTIONS: AdaptiveOptions = {
-  maxQueued: 256,
   maxQueuedBytes: 16 * MEBIBYTE,
   isDeadlineChecked: false,
   reservedShare: 0,
   isWeighted: false,
   waitMultiple: 0,
   dropMultiple: 0,
-  isNewestFirst: false,
   isFair: false,
-  slowStartMs: 0,
 };
 
 /** The parts that daemons use. */
