--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -16,7 +16,6 @@
   getAssignmentKey,
 } from '@dottereldrift/ownership/assignment_record.js';
 import {chooseCoordinator} from '@dottereldrift/ownership/coordinator_choice.js';
-import {planAssignment} from '@dottereldrift/ownership/placement.js';
 import type {
   Slice,
   SliceRef,
@@ -25,6 +24,7 @@
 import type {ObjectStore} from '@dottereldrift/store/types.js';
 
 import type {PeerClients} from './peer_client.js';
+import type {PlacementPlanner} from './placement_planner.js';
 import {
   ACCEPTED_MANIFEST_KEY,
   MANIFEST_STATUS_KEY,
@@ -59,6 +59,7 @@
     private readonly getSelf: () => Member,
     private readonly isActive: () => boolean,
     private readonly releaseLocally: LocalRelease,
+    private readonly planner: PlacementPlanner,
     private readonly log: Log,
   ) {}
 
@@ -179,7 +180,7 @@
     if (present === undefined && !this.isFirstPlacementDue(service, eligible))
       return false;
     const released = await this.collectReleases(service, present);
-    const next = planAssignment({
+    const next = this.planner.plan({
       service,
       writer: this.getSelf(),
       present: present?.assignment,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,11 +24,14 @@
 import type {AttemptResult, Exchange} from './exchange.js';
 import {ExchangeFactory} from './exchange_factory.js';
 import {Forwarder} from './forwarder.js';
+import {LoadBook} from './load_book.js';
+import {LoadReporter} from './load_reporter.js';
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
 import {PeerClients} from './peer_client.js';
 import {addPeerRoutes} from './peer_listener.js';
+import {PlacementPlanner} from './placement_planner.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {ServerRegistry} from './server_registry.js';
@@ -72,6 +75,8 @@
   private readonly forwarder: Forwarder;
   private readonly entry: Entry;
   private readonly coordinator: Coordinator;
+  private readonly loadBook: LoadBook;
+  private readonly loadReporter: LoadReporter;
   private readonly report: BurnReport;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
@@ -153,6 +158,18 @@
       settings.host,
     );
     this.report = new BurnReport(system);
+    this.loadBook = new LoadBook(system);
+    this.loadReporter = new LoadReporter(
+      system,
+      this.view,
+      peers,
+      this.loadBook,
+      getSelf,
+      this.log.createPart('load'),
+    );
+    this.owner.addAdmissionListener((service, start, position) => {
+      this.loadReporter.addRequest(service, start, position);
+    });
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -162,6 +179,7 @@
       () => this.keeper.isHeld(),
       (service, owner, nextOwner, refs) =>
         this.mover.release(service, owner, nextOwner, refs),
+      new PlacementPlanner(this.view, this.loadBook),
       this.log.createPart('coordinator'),
     );
   }
@@ -182,7 +200,12 @@
     });
     this.witnesses.start();
     this.registry.start();
-    this.running = [this.view.run(), this.keeper.run(), this.coordinator.run()];
+    this.running = [
+      this.view.run(),
+      this.keeper.run(),
+      this.coordinator.run(),
+      this.loadReporter.run(),
+    ];
     this.log.writeInfo('The daemon has started.', {host: this.settings.host});
   }
 
@@ -196,6 +219,7 @@
       SHUTDOWN_LIMIT_MS,
     );
     this.coordinator.stop();
+    this.loadReporter.stop();
     this.witnesses.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
     await this.keeper.stop();
@@ -227,6 +251,7 @@
       witnesses: this.witnesses,
       owner: this.owner,
       mover: this.mover,
+      loadBook: this.loadBook,
       system: this.system,
       getSelf: () => this.keeper.getMember(),
     });
@@ -280,8 +305,10 @@
   }
 
   private applyView(): void {
-    for (const {assignment} of this.view.getAssignments())
+    for (const {assignment} of this.view.getAssignments()) {
       this.owner.applyAssignment(assignment);
+      this.loadReporter.applyAssignment(assignment);
+    }
     this.witnesses.dropEnded();
     this.registry.sendGrants();
   }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -62,11 +62,19 @@
   readonly state: ServiceState;
 }
 
+/** Called back with each request that is admitted to a slice, given by its start. */
+export type AdmissionListener = (
+  service: ServiceName,
+  start: number,
+  position: number,
+) => void;
+
 /** Runs requests on this host's backend servers. */
 export class Owner {
   private readonly services = new Map<ServiceName, ServiceState>();
   private isClosing = false;
   private running = 0;
+  private onAdmission: AdmissionListener = () => {};
 
   constructor(
     private readonly system: System,
@@ -75,6 +83,10 @@
     private readonly limits: Limits,
   ) {}
 
+  addAdmissionListener(listener: AdmissionListener): void {
+    this.onAdmission = listener;
+  }
+
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
     this.getState(assignment.service).gate.applyAssignment(assignment);
@@ -174,6 +186,7 @@
     ) {
       return refuse('DD3005', SHORT_RETRY_MS);
     }
+    this.onAdmission(service, answer.slice.start, position);
     return {exchange, server, slice: answer.slice, position, state};
   }
 
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -13,6 +13,8 @@
 
 import {KeyCheck} from './access.js';
 import {parseEntry} from './entry_codec.js';
+import type {LoadBook} from './load_book.js';
+import {parseReport} from './load_codec.js';
 import type {Mover} from './mover.js';
 import type {Owner} from './owner.js';
 import type {WitnessKeeper} from './witness_keeper.js';
@@ -22,6 +24,7 @@
   readonly witnesses: WitnessKeeper;
   readonly owner: Owner;
   readonly mover: Mover;
+  readonly loadBook: LoadBook;
   readonly system: System;
   readonly getSelf: () => Member;
 }
@@ -74,6 +77,10 @@
         })),
       };
     },
+    reportLoad: request => {
+      parts.loadBook.receiveReport(parseReport(request));
+      return {};
+    },
     handOverEntries: request => {
       const nextOwner = parseMember(request.nextOwner);
       if (nextOwner.incarnation !== parts.getSelf().incarnation)
--- /dev/null
+++ b/packages/daemon/src/placement_planner.ts
@@ -0,0 +1,80 @@
+/**
+ * Plans placement from the load that owners report and the slots that servers announce, and leaves
+ * out plans whose input has not changed since the last one changed nothing.
+ */
+import {formatMember} from '@dottereldrift/core/member.js';
+import type {HostName, ServiceName} from '@dottereldrift/core/types.js';
+import type {LoadProfile} from '@dottereldrift/ownership/load_types.js';
+import {
+  planAssignment,
+  type PlacementInput,
+} from '@dottereldrift/ownership/placement.js';
+import type {Assignment} from '@dottereldrift/ownership/types.js';
+
+import type {LoadBook} from './load_book.js';
+import type {StoreView} from './store_view.js';
+
+/** What the coordinator knows of a service; the planner adds load and weights. */
+export type PlannerInput = Omit<PlacementInput, 'profile' | 'weights'>;
+
+interface SettledPlan {
+  readonly present: Assignment | undefined;
+  readonly profile: LoadProfile | undefined;
+  readonly members: string;
+}
+
+/** Plans the placement of services. */
+export class PlacementPlanner {
+  private readonly settled = new Map<ServiceName, SettledPlan>();
+
+  constructor(
+    private readonly view: StoreView,
+    private readonly book: LoadBook,
+  ) {}
+
+  /** Returns the next assignment, or undefined when the present one stands. */
+  plan(input: PlannerInput): Assignment | undefined {
+    const {service, present} = input;
+    const profile =
+      present === undefined
+        ? undefined
+        : this.book.readProfile(service, present);
+    const weights = this.readWeights(input);
+    const settled = this.settled.get(service);
+    const members = this.formatMembers(input, weights);
+    const isSettled =
+      input.released.length === 0 &&
+      settled?.present === present &&
+      settled?.profile === profile &&
+      settled?.members === members;
+    if (isSettled) return undefined;
+    const next = planAssignment({...input, profile, weights});
+    if (next === undefined)
+      this.settled.set(service, {present, profile, members});
+    return next;
+  }
+
+  private readWeights(input: PlannerInput): ReadonlyMap<HostName, number> {
+    const weights = new Map<HostName, number>();
+    for (const {host} of input.eligible) {
+      const servers = this.view.getSession(host)?.session.servers ?? [];
+      const server = servers.find(other => other.service === input.service);
+      weights.set(host, Math.max(1, server?.slots ?? 1));
+    }
+    return weights;
+  }
+
+  /** Names who may own slices, with which weights, and who is live. */
+  private formatMembers(
+    input: PlannerInput,
+    weights: ReadonlyMap<HostName, number>,
+  ): string {
+    const eligible = input.eligible.map(
+      member => `${formatMember(member)}=${weights.get(member.host)}`,
+    );
+    const live = this.view
+      .getLiveSessions()
+      .map(session => formatMember(session.member));
+    return [...eligible, '/', ...live, input.slicesPerServer].join(' ');
+  }
+}
--- a/packages/ownership/src/hot_positions.ts
+++ b/packages/ownership/src/hot_positions.ts
@@ -22,6 +22,7 @@
 
 /** Counts the heaviest positions with a fixed number of counters. */
 export class HotPositions {
+  /** By the position as a signed number, which a map handles without allocation. */
   private readonly counters = new Map<number, Counter>();
   /** Min-heap by weight, so that the lightest counter is at hand for reuse. */
   private readonly heap: Counter[] = [];
@@ -30,7 +31,7 @@
 
   /** Adds weight to a position. */
   addWeight(position: number, weight: number): void {
-    const present = this.counters.get(position);
+    const present = this.counters.get(position | 0);
     if (present !== undefined) {
       present.weight += weight;
       this.shiftDown(present);
@@ -59,18 +60,18 @@
 
   private addCounter(position: number, weight: number): void {
     const counter = {position, weight, error: 0, heapIndex: this.heap.length};
-    this.counters.set(position, counter);
+    this.counters.set(position | 0, counter);
     this.heap.push(counter);
     this.shiftUp(counter);
   }
 
   private takeLightest(position: number, weight: number): void {
     const lightest = assertDefined(this.heap[0], 'The heap is full.');
-    this.counters.delete(lightest.position);
+    this.counters.delete(lightest.position | 0);
     lightest.position = position;
     lightest.error = lightest.weight;
     lightest.weight += weight;
-    this.counters.set(position, lightest);
+    this.counters.set(position | 0, lightest);
     this.shiftDown(lightest);
   }
 
--- a/packages/ownership/src/load_meter.ts
+++ b/packages/ownership/src/load_meter.ts
@@ -27,6 +27,8 @@
 /** Share of an owner's load from which a position is hot. */
 const MIN_HOT_SHARE = 0.01;
 const MAX_WEIGHT = 1e9;
+/** Time for which requests weigh the same. */
+const WEIGHT_INTERVAL_MS = 50;
 
 interface SliceCounter {
   readonly start: number;
@@ -51,7 +53,8 @@
 
   /** Counts a request at a position of a slice, given by its start. */
   addRequest(start: number, position: number, nowMs: number): void {
-    if (nowMs !== this.weighedAtMs) this.updateWeight(nowMs);
+    if (nowMs - this.weighedAtMs >= WEIGHT_INTERVAL_MS)
+      this.updateWeight(nowMs);
     const counter = this.counters.get(start);
     if (counter === undefined) return;
     counter.weight += this.weight;
--- a/packages/ownership/src/move_plan.ts
+++ b/packages/ownership/src/move_plan.ts
@@ -32,16 +32,25 @@
 /** Fragments left where they are, beyond the planned number of slices. */
 const FRAGMENTS_ALLOWED = 32;
 
+/** What moves are planned for. */
+export interface MoveInput {
+  /** Number of slices that the fleet calls for. */
+  readonly plannedCount: number;
+  /** False while moves for balance must wait for reports of the load. */
+  readonly isLoadKnown: boolean;
+}
+
 /** Returns the slices with the next owners of those that are to move. */
 export function planMoves(
   slices: readonly Slice[],
   rates: readonly number[],
   loads: OwnerLoads,
-  plannedCount: number,
+  input: MoveInput,
 ): readonly Slice[] {
   const planner = new MovePlanner(slices, rates, loads);
   planner.moveFromIneligible();
-  if (slices.length > plannedCount + FRAGMENTS_ALLOWED)
+  if (!input.isLoadKnown) return planner.getSlices();
+  if (slices.length > input.plannedCount + FRAGMENTS_ALLOWED)
     planner.moveColdFragments();
   planner.moveSurplus();
   return planner.getSlices();
--- a/packages/ownership/src/placement.ts
+++ b/packages/ownership/src/placement.ts
@@ -4,7 +4,6 @@
  * above its share, or to one well below, and only until the loads are close.
  */
 import {isSameMember} from '@dottereldrift/core/member.js';
-import {RING_SIZE} from '@dottereldrift/core/ring_hash.js';
 import type {HostName, Member, ServiceName} from '@dottereldrift/core/types.js';
 
 import {computeSliceRates, EMPTY_PROFILE} from './load_profile.js';
@@ -12,7 +11,7 @@
 import {planMoves} from './move_plan.js';
 import {OwnerLoads} from './owner_loads.js';
 import {MAX_SLICES, planShape} from './reshaping.js';
-import {createSlices, getSliceEnd} from './slices.js';
+import {createSlices, getRingShare} from './slices.js';
 import type {Assignment, Slice, SliceRef} from './types.js';
 
 /** What placement is decided from. */
@@ -30,8 +29,8 @@
   readonly slicesPerServer: number;
   /** Weights of hosts, such as the slots of their servers; 1 where none is given. */
   readonly weights?: ReadonlyMap<HostName, number>;
-  /** Observed load; without one, slices count by their widths. */
-  readonly profile?: LoadProfile;
+  /** Observed load. While it is not known, no slice moves for balance and none changes its shape. */
+  readonly profile: LoadProfile | undefined;
 }
 
 /**
@@ -67,24 +66,20 @@
 ): readonly Slice[] {
   const profile = input.profile ?? EMPTY_PROFILE;
   const {eligible} = input;
+  const isKnown = input.profile !== undefined;
   const assumed = ASSUMED_RATE_PER_OWNER * eligible.length;
   const observed = computeSliceRates(profile, settled);
   const total = observed.reduce((sum, rate) => sum + rate, assumed);
   const meanRate = total / eligible.length;
   const shape = {plannedCount, profile, meanRate, token: generation};
-  const shaped = planShape(settled, shape);
+  const shaped = isKnown ? planShape(settled, shape) : settled;
   const rates = computeSliceRates(profile, shaped).map(
     (rate, index) => rate + assumed * getRingShare(shaped, index),
   );
   const weights = input.weights ?? new Map<HostName, number>();
   const loads = new OwnerLoads(eligible, weights, shaped, rates);
   const placed = placeUnowned(shaped, rates, loads, generation);
-  return planMoves(placed, rates, loads, plannedCount);
-}
-
-function getRingShare(slices: readonly Slice[], index: number): number {
-  const start = slices[index]?.start ?? 0;
-  return (getSliceEnd(slices, index) - start) / RING_SIZE;
+  return planMoves(placed, rates, loads, {plannedCount, isLoadKnown: isKnown});
 }
 
 function settleSlices(
--- a/packages/ownership/src/slices.ts
+++ b/packages/ownership/src/slices.ts
@@ -50,6 +50,12 @@
   return slices[index + 1]?.start ?? RING_SIZE;
 }
 
+/** Returns the share of the ring that a slice covers. */
+export function getRingShare(slices: readonly Slice[], index: number): number {
+  const start = slices[index]?.start ?? 0;
+  return (getSliceEnd(slices, index) - start) / RING_SIZE;
+}
+
 /** Tells whether a member owns a slice. */
 export function isOwnedBy(slice: Slice, member: Member): boolean {
   return slice.owner !== undefined && isSameMember(slice.owner, member);
--- a/packages/ownership/test/fleet_model.ts
+++ b/packages/ownership/test/fleet_model.ts
@@ -4,6 +4,7 @@
  */
 import type {Member} from '@dottereldrift/core/types.js';
 
+import {EMPTY_PROFILE} from '../src/load_profile.js';
 import {planAssignment, type PlacementInput} from '../src/placement.js';
 import type {Assignment, SliceRef} from '../src/types.js';
 
@@ -30,6 +31,7 @@
     isEnded: () => false,
     released: [],
     slicesPerServer: 16,
+    profile: EMPTY_PROFILE,
     ...changes,
   };
 }
--- a/packages/ownership/test/placement.test.ts
+++ b/packages/ownership/test/placement.test.ts
@@ -272,6 +272,14 @@
   t.is(planAssignment(createInput(members, {present, profile})), undefined);
 });
 
+test('while the load is not known only what must move moves', t => {
+  const present = planUntilSettled(createInput(createMembers(4)));
+  const unknown = {present, profile: undefined};
+  t.is(planAssignment(createInput(createMembers(5), unknown)), undefined);
+  const left = planUntilSettled(createInput(createMembers(3), unknown));
+  t.true(left.slices.every(slice => slice.owner?.host !== 'h4'));
+});
+
 test('plans of a small fleet', t => {
   const format = (assignment: Assignment | undefined) =>
     assignment?.slices.map(
