--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -17,6 +17,7 @@
 import {parseReport} from './load_codec.js';
 import type {Mover} from './mover.js';
 import type {Owner} from './owner.js';
+import type {RelayServer} from './relay_server.js';
 import type {WitnessKeeper} from './witness_keeper.js';
 
 /** What the peer service is answered from. */
@@ -25,6 +26,7 @@
   readonly owner: Owner;
   readonly mover: Mover;
   readonly loadBook: LoadBook;
+  readonly relay: RelayServer;
   readonly system: System;
   readonly getSelf: () => Member;
 }
@@ -81,6 +83,8 @@
       parts.loadBook.receiveReport(parseReport(request));
       return {};
     },
+    followObjects: (request, context) =>
+      parts.relay.serveFollower(Number(request.revision), context.signal),
     handOverEntries: request => {
       const nextOwner = parseMember(request.nextOwner);
       if (nextOwner.incarnation !== parts.getSelf().incarnation)
--- /dev/null
+++ b/packages/daemon/src/relay_codec.ts
@@ -0,0 +1,53 @@
+/**
+ * Conversion between the objects of the view and the messages that relays send.
+ */
+import {create, fromBinary} from '@bufbuild/protobuf';
+
+import {
+  applyDiff,
+  createDiff,
+} from '@dottereldrift/ownership/assignment_diff.js';
+import {
+  encodeAssignment,
+  getAssignmentKey,
+  parseAssignment,
+} from '@dottereldrift/ownership/assignment_record.js';
+import type {
+  Assignment,
+  VersionedAssignment,
+} from '@dottereldrift/ownership/types.js';
+import {
+  type AssignmentDiffRecord,
+  AssignmentDiffRecordSchema,
+} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+import {AssignmentRecordSchema} from '@dottereldrift/rpc/gen/dottereldrift/v1/records_pb.js';
+import {toBinary} from '@bufbuild/protobuf';
+
+/** Returns the message of the difference between two generations. */
+export function encodeDiff(
+  before: Assignment,
+  after: VersionedAssignment,
+): AssignmentDiffRecord {
+  const diff = createDiff(before, after.assignment);
+  return create(AssignmentDiffRecordSchema, {
+    key: getAssignmentKey(after.assignment.service),
+    version: BigInt(after.version),
+    baseGeneration: BigInt(diff.baseGeneration),
+    changed: fromBinary(AssignmentRecordSchema, encodeAssignment(diff.changed)),
+    removedStarts: [...diff.removedStarts],
+  });
+}
+
+/** Returns the later assignment, or undefined when the difference is to another generation. */
+export function tryApplyDiff(
+  before: Assignment | undefined,
+  record: AssignmentDiffRecord,
+): VersionedAssignment | undefined {
+  if (record.changed === undefined) return undefined;
+  const assignment = applyDiff(before, {
+    baseGeneration: Number(record.baseGeneration),
+    changed: parseAssignment(toBinary(AssignmentRecordSchema, record.changed)),
+    removedStarts: record.removedStarts,
+  });
+  return assignment && {assignment, version: Number(record.version)};
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -84,6 +84,8 @@
     error: 'allowed is a URL that begins with http://',
   }),
   peers: z.array(addressSchema).max(64).default([]),
+  /** False makes this daemon follow the store itself rather than a relay. */
+  relayed: z.boolean().default(true),
   peerKey: z.string().min(MIN_KEY_LENGTH),
   operatorKey: z.string().min(MIN_KEY_LENGTH),
   statsdAddress: addressSchema.optional(),
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -1,12 +1,11 @@
 /**
- * What the daemon knows of the store: sessions, assignments, the configuration and drains. It is
- * filled by one list and kept up to date by one watch, and stays as it is while the store is down.
+ * What the daemon knows of the store: sessions, assignments, the configuration and drains. It is kept
+ * up to date from the store itself or by a relay, and stays as it is while neither answers. No object
+ * ever goes back to an earlier version, whatever it comes from.
  */
-import * as E from 'fp-ts/lib/Either.js';
-
 import type {Log} from '@dottereldrift/core/log.js';
 import {isSameMember} from '@dottereldrift/core/member.js';
-import {type System, waitFor} from '@dottereldrift/core/system.js';
+import type {System} from '@dottereldrift/core/system.js';
 import type {HostName, Member, ServiceName} from '@dottereldrift/core/types.js';
 import {chooseNewer} from '@dottereldrift/manifest/acceptance.js';
 import type {
@@ -23,14 +22,12 @@
 } from '@dottereldrift/membership/types.js';
 import {
   ASSIGNMENT_PREFIX,
+  encodeAssignment,
+  getAssignmentKey,
   parseAssignment,
 } from '@dottereldrift/ownership/assignment_record.js';
 import type {VersionedAssignment} from '@dottereldrift/ownership/types.js';
-import type {
-  ObjectChange,
-  ObjectStore,
-  StoredObject,
-} from '@dottereldrift/store/types.js';
+import type {StoredObject} from '@dottereldrift/store/types.js';
 
 /** Keys of the configuration in the store. */
 export const SUBMITTED_MANIFEST_KEY = 'manifest/submitted';
@@ -39,9 +36,8 @@
 /** Prefix of the keys of drains in the store. */
 export const DRAIN_PREFIX = 'drains/';
 
-const WATCH_WAIT_MS = 25_000;
-const RETRY_DELAY_MS = 200;
-const MAX_RETRY_DELAY_MS = 2_000;
+/** Told of each object that has changed, by its key. */
+export type ChangeListener = (key: string) => void;
 
 /** The daemon's copy of the store. */
 export class StoreView {
@@ -53,17 +49,35 @@
   private submitted: StoredObject | undefined;
   private status:
     {readonly value: ManifestStatus; readonly version: number} | undefined;
+  /** Objects other than assignments, as they are in the store. */
+  private readonly objects = new Map<string, StoredObject>();
+  /** Versions of the deletions of objects. */
+  private readonly deletions = new Map<string, number>();
   private readonly listeners: Array<() => void> = [];
+  private readonly changeListeners = new Set<ChangeListener>();
+  private refresh: (key: string) => Promise<void> = () => Promise.resolve();
   private revision = -1;
-  private isStopped = false;
   private lastContactMs = -Infinity;
 
   constructor(
-    private readonly store: ObjectStore,
     private readonly system: System,
     private readonly log: Log,
   ) {}
 
+  /** Sets how an object is read again when it is known to be out of date. */
+  setRefresher(refresh: (key: string) => Promise<void>): void {
+    this.refresh = refresh;
+  }
+
+  /** Reads an assignment again, unless it has reached a generation that another daemon knows. */
+  async refreshAssignment(
+    service: ServiceName,
+    generation: number,
+  ): Promise<void> {
+    const known = this.assignments.get(service)?.assignment.generation ?? 0;
+    if (known < generation) await this.refresh(getAssignmentKey(service));
+  }
+
   /** Calls back after every change. */
   addListener(listener: () => void): void {
     this.listeners.push(listener);
@@ -130,109 +144,102 @@
     return this.system.getNow().monotonicMs - this.lastContactMs;
   }
 
+  /** Revision of the store up to which everything is known; -1 before the first. */
+  getRevision(): number {
+    return this.revision;
+  }
+
+  /** Notes that everything up to a revision is known. */
+  setRevision(revision: number): void {
+    this.revision = Math.max(this.revision, revision);
+  }
+
+  /** Notes that the store has answered, here or elsewhere, some milliseconds ago. */
+  recordContact(silenceMs = 0): void {
+    const atMs = this.system.getNow().monotonicMs - silenceMs;
+    this.lastContactMs = Math.max(this.lastContactMs, atMs);
+  }
+
+  /** Calls back with the key of every object that changes. Returns what ends this. */
+  addChangeListener(listener: ChangeListener): () => void {
+    this.changeListeners.add(listener);
+    return () => this.changeListeners.delete(listener);
+  }
+
   /** Takes over an object that was just read or written. */
   applyObject(object: StoredObject): void {
     if (this.tryApply(object)) this.notifyListeners();
   }
 
-  /** Follows the store until it is stopped. */
-  async run(): Promise<void> {
-    let failures = 0;
-    while (!this.isStopped) {
-      const isDone =
-        this.revision < 0 ? await this.tryLoad() : await this.tryFollow();
-      failures = isDone ? 0 : failures + 1;
-      if (!isDone) await waitFor(this.system, this.getRetryDelayMs(failures));
-    }
+  /** Takes over objects that were read together, and calls back once. */
+  applyObjects(objects: readonly StoredObject[]): void {
+    const applied = objects.filter(object => this.tryApply(object));
+    if (applied.length > 0) this.notifyListeners();
   }
 
-  stop(): void {
-    this.isStopped = true;
+  /** Takes over an assignment that was put together from a difference. */
+  applyAssignment(entry: VersionedAssignment): void {
+    const key = getAssignmentKey(entry.assignment.service);
+    if (this.getKnownVersion(key) >= entry.version) return;
+    this.assignments.set(entry.assignment.service, entry);
+    this.notifyChange(key);
+    this.notifyListeners();
   }
 
-  private getRetryDelayMs(failures: number): number {
-    const limit = Math.min(
-      MAX_RETRY_DELAY_MS,
-      RETRY_DELAY_MS * 2 ** Math.min(failures, 10),
-    );
-    return limit * (0.5 + this.system.getRandom() / 2);
+  /** Takes note that an object was deleted. */
+  removeObject(key: string, version: number): void {
+    if (this.getKnownVersion(key) >= version) return;
+    this.deletions.set(key, version);
+    this.objects.delete(key);
+    if (key.startsWith(DRAIN_PREFIX))
+      this.drains.delete(key.slice(DRAIN_PREFIX.length));
+    if (key.startsWith(SESSION_PREFIX))
+      this.sessions.delete(key.slice(SESSION_PREFIX.length));
+    this.notifyChange(key);
+    this.notifyListeners();
   }
 
-  private async tryLoad(): Promise<boolean> {
-    const listed = await this.store.listObjects('')();
-    if (E.isLeft(listed)) {
-      this.log.writeWarning('Cannot read the store.', {
-        reason: listed.left.text,
-      });
-      return false;
+  /** Removes the objects that a list made at a revision did not have. */
+  removeMissing(presentKeys: readonly string[], revision: number): void {
+    const present = new Set(presentKeys);
+    for (const key of [...this.objects.keys()]) {
+      if (!present.has(key)) this.removeObject(key, revision);
     }
-    for (const object of listed.right.objects) this.tryApply(object);
-    this.removeMissing(listed.right.objects);
-    this.revision = listed.right.revision;
-    this.recordContact();
-    this.notifyListeners();
-    return true;
-  }
-
-  private async tryFollow(): Promise<boolean> {
-    const watched = await this.store.watchObjects(
-      '',
-      this.revision,
-      WATCH_WAIT_MS,
-    )();
-    if (E.isLeft(watched)) {
-      this.log.writeWarning('Cannot watch the store.', {
-        reason: watched.left.text,
-      });
-      return false;
-    }
-    this.recordContact();
-    if (watched.right.isReset) {
-      this.revision = -1;
-      return true;
-    }
-    if (!(await this.tryReadChanges(watched.right.changes))) return false;
-    this.revision = watched.right.revision;
-    if (watched.right.changes.length > 0) this.notifyListeners();
-    return true;
   }
 
-  private async tryReadChanges(
-    changes: readonly ObjectChange[],
-  ): Promise<boolean> {
-    const results = await Promise.all(
-      changes.map(change => this.tryReadChange(change)),
-    );
-    return results.every(isRead => isRead);
+  /** Returns the object of a key as it is in the store. */
+  getObject(key: string): StoredObject | undefined {
+    if (!key.startsWith(ASSIGNMENT_PREFIX)) return this.objects.get(key);
+    const entry = this.assignments.get(key.slice(ASSIGNMENT_PREFIX.length));
+    if (entry === undefined) return undefined;
+    const value = encodeAssignment(entry.assignment);
+    return {key, version: entry.version, value};
   }
 
-  private async tryReadChange(change: ObjectChange): Promise<boolean> {
-    if (change.isDeleted) {
-      this.removeObject(change.key);
-      return true;
-    }
-    if (this.getKnownVersion(change.key) >= change.version) return true;
-    const read = await this.store.getObject(change.key)();
-    if (E.isLeft(read)) return false;
-    if (read.right !== undefined) this.tryApply(read.right);
-    return true;
+  /** Returns the version of the deletion of a key; 0 when it was not deleted. */
+  getDeletionVersion(key: string): number {
+    return this.deletions.get(key) ?? 0;
   }
 
-  private getKnownVersion(key: string): number {
-    if (key.startsWith(SESSION_PREFIX)) {
-      return this.sessions.get(key.slice(SESSION_PREFIX.length))?.version ?? 0;
-    }
-    if (key.startsWith(ASSIGNMENT_PREFIX)) {
-      return (
-        this.assignments.get(key.slice(ASSIGNMENT_PREFIX.length))?.version ?? 0
-      );
-    }
-    return 0;
+  /** Returns the keys of all objects. */
+  listKeys(): readonly string[] {
+    const services = [...this.assignments.keys()];
+    return [...this.objects.keys(), ...services.map(getAssignmentKey)];
+  }
+
+  /** Returns the highest version of a key that is known; 0 when there is none. */
+  getKnownVersion(key: string): number {
+    const version = key.startsWith(ASSIGNMENT_PREFIX)
+      ? this.assignments.get(key.slice(ASSIGNMENT_PREFIX.length))?.version
+      : this.objects.get(key)?.version;
+    return Math.max(version ?? 0, this.getDeletionVersion(key));
   }
 
   private tryApply(object: StoredObject): boolean {
+    if (this.getKnownVersion(object.key) >= object.version) return false;
     try {
       this.applyKnownObject(object);
+      this.notifyChange(object.key);
       return true;
     } catch (error) {
       this.log.writeError('An object in the store cannot be read.', {
@@ -245,7 +252,6 @@
 
   private applyKnownObject(object: StoredObject): void {
     const {key, version, value} = object;
-    if (this.getKnownVersion(key) >= version) return;
     if (key.startsWith(SESSION_PREFIX)) {
       this.sessions.set(key.slice(SESSION_PREFIX.length), {
         session: parseSession(value),
@@ -270,27 +276,11 @@
     } else if (key === MANIFEST_STATUS_KEY) {
       this.status = {value: parseJson<ManifestStatus>(value), version};
     }
+    if (!key.startsWith(ASSIGNMENT_PREFIX)) this.objects.set(key, object);
   }
 
-  private removeObject(key: string): void {
-    if (key.startsWith(DRAIN_PREFIX))
-      this.drains.delete(key.slice(DRAIN_PREFIX.length));
-    if (key.startsWith(SESSION_PREFIX))
-      this.sessions.delete(key.slice(SESSION_PREFIX.length));
-  }
-
-  private removeMissing(objects: readonly StoredObject[]): void {
-    const present = new Set(objects.map(object => object.key));
-    for (const host of this.drains.keys()) {
-      if (!present.has(`${DRAIN_PREFIX}${host}`)) this.drains.delete(host);
-    }
-    for (const host of this.sessions.keys()) {
-      if (!present.has(`${SESSION_PREFIX}${host}`)) this.sessions.delete(host);
-    }
-  }
-
-  private recordContact(): void {
-    this.lastContactMs = this.system.getNow().monotonicMs;
+  private notifyChange(key: string): void {
+    for (const listener of this.changeListeners) listener(key);
   }
 
   private notifyListeners(): void {
