--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
   type System,
   waitFor,
 } from '@dottereldrift/core/system.js';
-import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
@@ -18,12 +18,18 @@
 import type {Address} from '@dottereldrift/core/types.js';
 
 import {BurnReport} from './burn_report.js';
+import {
+  type ControlCounters,
+  CountingStore,
+  createCounters,
+} from './control_counters.js';
 import {Coordinator} from './coordinator.js';
 import {DatagramChannel} from './datagram_channel.js';
 import {Entry} from './entry.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import {ExchangeFactory} from './exchange_factory.js';
 import {Forwarder} from './forwarder.js';
+import {GaugeReporter} from './gauge_reporter.js';
 import {LoadBook} from './load_book.js';
 import {LoadReporter} from './load_reporter.js';
 import {Mover} from './mover.js';
@@ -37,9 +43,10 @@
 import {ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import type {Settings} from './settings.js';
-import {StatusReader} from './status.js';
+import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
 import {Takeover} from './takeover.js';
+import {createViewParts, type ViewParts} from './view_parts.js';
 import {WitnessKeeper} from './witness_keeper.js';
 
 /** A running daemon. */
@@ -63,8 +70,11 @@
 class DaemonParts implements Daemon {
   private readonly log: Log;
   private readonly metrics: Metrics;
-  private readonly store: HttpStore;
+  private readonly httpStore: HttpStore;
+  private readonly store: CountingStore;
+  private readonly counters: ControlCounters = createCounters();
   private readonly view: StoreView;
+  private readonly viewParts: ViewParts;
   private readonly channel: DatagramChannel;
   private readonly takeover: Takeover;
   private readonly keeper: SessionKeeper;
@@ -78,6 +88,8 @@
   private readonly loadBook: LoadBook;
   private readonly loadReporter: LoadReporter;
   private readonly report: BurnReport;
+  private readonly status: StatusReader;
+  private readonly gauges: GaugeReporter;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
 
@@ -93,14 +105,24 @@
       limits.storeCallsPerSecond,
       limits.storeCallsBurst,
     );
-    this.store = new HttpStore(settings.storeUrl, system, budget);
-    this.view = new StoreView(this.store, system, this.log.createPart('store'));
+    this.httpStore = new HttpStore(settings.storeUrl, system, budget);
+    this.store = new CountingStore(this.httpStore, this.counters);
+    this.view = new StoreView(system, this.log.createPart('store'));
     this.channel = new DatagramChannel(
       settings.peerAddress,
       settings.peerKey,
       this.log.createPart('channel'),
     );
     const peers = new PeerClients(settings.peerKey);
+    this.viewParts = createViewParts(
+      settings,
+      system,
+      this.store,
+      this.view,
+      peers,
+      this.counters,
+      this.log,
+    );
     const getSelf = () => this.keeper.getMember();
     this.takeover = new Takeover(
       this.store,
@@ -170,6 +192,15 @@
     this.owner.addAdmissionListener((service, start, position) => {
       this.loadReporter.addRequest(service, start, position);
     });
+    this.status = new StatusReader(
+      system,
+      this.view,
+      this.keeper,
+      this.registry,
+      this.owner,
+      () => this.readControl(),
+    );
+    this.gauges = new GaugeReporter(system, this.metrics, this.status);
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -200,8 +231,9 @@
     });
     this.witnesses.start();
     this.registry.start();
+    this.gauges.start();
     this.running = [
-      this.view.run(),
+      this.viewParts.follower.run(),
       this.keeper.run(),
       this.coordinator.run(),
       this.loadReporter.run(),
@@ -220,13 +252,15 @@
     );
     this.coordinator.stop();
     this.loadReporter.stop();
+    this.gauges.stop();
     this.witnesses.stop();
+    this.viewParts.relay.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
     await this.keeper.stop();
-    this.view.stop();
+    this.viewParts.follower.stop();
     await this.registry.stop();
     await this.forwarder.close();
-    await this.store.close();
+    await this.httpStore.close();
     this.channel.close();
     this.metrics.close();
     this.log.writeInfo('The daemon has stopped.');
@@ -252,6 +286,7 @@
       owner: this.owner,
       mover: this.mover,
       loadBook: this.loadBook,
+      relay: this.viewParts.relay,
       system: this.system,
       getSelf: () => this.keeper.getMember(),
     });
@@ -262,13 +297,7 @@
     addServerRoutes(servers, settings.serverAddress.ip, this.registry);
     const operators = createListener(limits);
     addJsonParser(operators);
-    const status = new StatusReader(
-      this.system,
-      this.view,
-      this.keeper,
-      this.registry,
-      this.owner,
-    );
+    const {status} = this;
     const {store, view, takeover, report} = this;
     addOperatorRoutes(operators, settings.operatorKey, {
       store,
@@ -298,9 +327,11 @@
         from,
       );
     } else if (body.case === 'heartbeatAnswer') {
-      const {witnessHost, witnessIncarnation, sequence, fenced} = body.value;
+      const {host, incarnation, sequence, fenced} = body.value;
+      const {witnessHost, witnessIncarnation} = body.value;
       const witness = {host: witnessHost, incarnation: witnessIncarnation};
-      this.keeper.receiveAnswer(witness, Number(sequence), fenced);
+      const target = {host, incarnation};
+      this.keeper.receiveAnswer(target, witness, Number(sequence), fenced);
     }
   }
 
@@ -309,7 +340,7 @@
       this.owner.applyAssignment(assignment);
       this.loadReporter.applyAssignment(assignment);
     }
-    this.witnesses.dropEnded();
+    this.witnesses.fenceEnded();
     this.registry.sendGrants();
   }
 
@@ -334,7 +365,9 @@
   private createPolicy(service: string, slots: number) {
     const maxQueued =
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
-    return new FifoPolicy(this.system, slots, maxQueued);
+    const {slotPolicy, queuedBytes} = this.settings.limits;
+    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
   private observe(exchange: Exchange, result: AttemptResult): void {
@@ -351,6 +384,15 @@
     this.metrics.recordDurationMs('request', tookMs, tags);
   }
 
+  private readControl(): ControlStatus {
+    const {follower, relay} = this.viewParts;
+    return {
+      source: follower.getSource(),
+      followers: relay.getFollowerCount(),
+      ...this.counters,
+    };
+  }
+
   private hasNoSlices(): boolean {
     const {host} = this.settings;
     return this.view
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -15,6 +15,7 @@
 import {parseEntry} from './entry_codec.js';
 import type {LoadBook} from './load_book.js';
 import {parseReport} from './load_codec.js';
+import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Mover} from './mover.js';
 import type {Owner} from './owner.js';
 import type {RelayServer} from './relay_server.js';
@@ -43,7 +44,11 @@
       done();
       return;
     }
-    void reply.code(401).send({...createMessage('DD4010')});
+    void reply
+      .code(401)
+      .header(OUTCOME_HEADER, 'not-run')
+      .header(CODE_HEADER, 'DD4010')
+      .send({...createMessage('DD4010')});
   });
   await app.register(fastifyConnectPlugin, {
     routes: router => {
--- a/packages/daemon/src/relay_client.ts
+++ b/packages/daemon/src/relay_client.ts
@@ -35,7 +35,7 @@
   ) {}
 
   /** Follows a daemon until the stream ends; returns the number of messages received. */
-  async follow(address: Address, mayGoOn: FollowRule): Promise<number> {
+  async watchRelay(address: Address, mayGoOn: FollowRule): Promise<number> {
     const controller = new AbortController();
     let messages = 0;
     let cancel = this.startSilenceTimer(controller);
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -60,8 +60,8 @@
     let failures = 0;
     while (!this.isStopped) {
       const isDone = this.view.isLoaded()
-        ? await this.followOnce()
-        : await this.loadOnce();
+        ? await this.tryWatch()
+        : await this.tryLoad();
       failures = isDone ? 0 : failures + 1;
       if (!isDone) await waitFor(this.system, this.getRetryDelayMs(failures));
     }
@@ -76,7 +76,7 @@
   }
 
   /** Reads the store first; a daemon that cannot takes what a peer knows. */
-  private async loadOnce(): Promise<boolean> {
+  private async tryLoad(): Promise<boolean> {
     this.setSource('store');
     if (await this.watcher.tryFollow(WATCH_WAIT_MS)) return true;
     const {peers} = this.settings;
@@ -84,11 +84,11 @@
     const peer = peers[index];
     if (peer === undefined) return false;
     this.setSource('peer');
-    await this.client.follow(peer, () => false);
+    await this.client.watchRelay(peer, () => false);
     return this.view.isLoaded();
   }
 
-  private async followOnce(): Promise<boolean> {
+  private async tryWatch(): Promise<boolean> {
     const relay = this.settings.isRelayed
       ? chooseRelay(
           this.settings.dataCentre,
@@ -97,18 +97,19 @@
         )
       : undefined;
     if (relay === undefined || relay.member.host === this.settings.host) {
-      if (this.source === 'relay') await this.waitForJitter(relay === undefined);
+      if (this.source === 'relay')
+        await this.waitForJitter(relay === undefined);
       this.setSource('store');
       return this.watcher.tryFollow(WATCH_WAIT_MS);
     }
-    return this.followRelay(relay.member.host, relay.peerAddress);
+    return this.watchRelay(relay.member.host, relay.peerAddress);
   }
 
-  private async followRelay(host: HostName, address: Address): Promise<boolean> {
+  private async watchRelay(host: HostName, address: Address): Promise<boolean> {
     this.setSource('relay');
     const startMs = this.system.getNow().monotonicMs;
     let isProbeDue = false;
-    await this.client.follow(address, ({storeSilenceMs}) => {
+    await this.client.watchRelay(address, ({storeSilenceMs}) => {
       const nowMs = this.system.getNow().monotonicMs;
       if (this.isStopped || !this.isStillRelay(host)) return false;
       if (storeSilenceMs <= MAX_STORE_SILENCE_MS) return true;
--- /dev/null
+++ b/packages/daemon/src/view_parts.ts
@@ -0,0 +1,50 @@
+/**
+ * Puts together what keeps the view of a daemon up to date, and what passes it on.
+ */
+import type {Log} from '@dottereldrift/core/log.js';
+import type {System} from '@dottereldrift/core/system.js';
+import type {ObjectStore} from '@dottereldrift/store/types.js';
+
+import type {ControlCounters} from './control_counters.js';
+import type {PeerClients} from './peer_client.js';
+import {RelayClient} from './relay_client.js';
+import {RelayServer} from './relay_server.js';
+import type {Settings} from './settings.js';
+import type {StoreView} from './store_view.js';
+import {StoreWatcher} from './store_watcher.js';
+import {ViewFollower} from './view_follower.js';
+
+/** The parts around the view. */
+export interface ViewParts {
+  readonly follower: ViewFollower;
+  readonly relay: RelayServer;
+}
+
+/** Creates the parts around a view. */
+export function createViewParts(
+  settings: Settings,
+  system: System,
+  store: ObjectStore,
+  view: StoreView,
+  peers: PeerClients,
+  counters: ControlCounters,
+  log: Log,
+): ViewParts {
+  const watcher = new StoreWatcher(store, view, log.createPart('store'));
+  view.setRefresher(key => watcher.refreshObject(key));
+  const relayLog = log.createPart('relay');
+  const client = new RelayClient(system, view, peers, counters, relayLog);
+  const {host, dataCentre, relayed, peerAddress} = settings;
+  const others = settings.peers.filter(
+    peer => peer.ip !== peerAddress.ip || peer.port !== peerAddress.port,
+  );
+  const follower = new ViewFollower(
+    {host, dataCentre, peers: others, isRelayed: relayed},
+    system,
+    view,
+    watcher,
+    client,
+    relayLog,
+  );
+  return {follower, relay: new RelayServer(system, view, counters)};
+}
--- a/packages/ownership/test/assignment_diff.test.ts
+++ b/packages/ownership/test/assignment_diff.test.ts
@@ -18,14 +18,12 @@
     owners: fc.array(fc.integer({min: 0, max: 3}), {minLength: 20}),
   })
   .map(({count, cuts, owners}) =>
-    cuts
-      .reduce(isolatePosition, createSlices(count))
-      .map((slice, index) => ({
-        ...slice,
-        owner: MEMBERS[owners[index] ?? 0],
-        nextOwner: MEMBERS[owners[index + 1] ?? 3],
-        token: index % 3,
-      })),
+    cuts.reduce(isolatePosition, createSlices(count)).map((slice, index) => ({
+      ...slice,
+      owner: MEMBERS[owners[index] ?? 0],
+      nextOwner: MEMBERS[owners[index + 1] ?? 3],
+      token: index % 3,
+    })),
   );
 
 function createAssignment(
