--- a/packages/daemon/src/relay_client.ts
+++ b/packages/daemon/src/relay_client.ts
@@ -29,7 +29,7 @@
   constructor(
     private readonly system: System,
     private readonly view: StoreView,
-    private readonly peers: PeerClients,
+    private readonly peers: Pick<PeerClients, 'getClient'>,
     private readonly counters: ControlCounters,
     private readonly log: Log,
   ) {}
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -96,15 +96,21 @@
           host => this.isAvoided(host),
         )
       : undefined;
-    if (relay === undefined || relay.member.host === this.settings.host) {
-      if (this.source === 'relay')
-        await this.waitForJitter(relay === undefined);
-      this.setSource('store');
-      return this.watcher.tryFollow(WATCH_WAIT_MS);
-    }
+    if (relay === undefined || relay.member.host === this.settings.host)
+      return this.watchStore(relay === undefined);
     return this.watchRelay(relay.member.host, relay.peerAddress);
   }
 
+  /** Watches the store; a relay that is cut off from it follows another daemon instead. */
+  private async watchStore(isFallback: boolean): Promise<boolean> {
+    if (isFallback && this.source === 'relay') await this.waitForJitter();
+    this.setSource('store');
+    if (await this.watcher.tryFollow(WATCH_WAIT_MS)) return true;
+    if (this.view.getSilenceMs() > MAX_STORE_SILENCE_MS)
+      this.setAvoided(this.settings.host);
+    return false;
+  }
+
   private async watchRelay(host: HostName, address: Address): Promise<boolean> {
     this.setSource('relay');
     const startMs = this.system.getNow().monotonicMs;
@@ -120,13 +126,13 @@
     });
     if (this.isStopped || !this.isStillRelay(host)) return true;
     if (isProbeDue && !(await this.tryProbe())) return true;
-    this.avoidedUntilMs.set(host, this.system.getNow().monotonicMs + AVOID_MS);
+    this.setAvoided(host);
     return true;
   }
 
   /** Tells whether the store answers here although the relay does not hear from it. */
   private async tryProbe(): Promise<boolean> {
-    await this.waitForJitter(true);
+    await this.waitForJitter();
     const isAnswered = await this.watcher.tryFollow(0);
     if (!isAnswered) this.lastProbeMs = this.system.getNow().monotonicMs;
     return isAnswered;
@@ -141,14 +147,17 @@
     return relay?.member.host === host;
   }
 
+  private setAvoided(host: HostName): void {
+    const nowMs = this.system.getNow().monotonicMs;
+    this.avoidedUntilMs.set(host, nowMs + AVOID_MS);
+  }
+
   private isAvoided(host: HostName): boolean {
-    if (host === this.settings.host) return false;
     const untilMs = this.avoidedUntilMs.get(host) ?? -Infinity;
     return this.system.getNow().monotonicMs < untilMs;
   }
 
-  private async waitForJitter(isNeeded: boolean): Promise<void> {
-    if (!isNeeded) return;
+  private async waitForJitter(): Promise<void> {
     await waitFor(this.system, this.system.getRandom() * STORE_JITTER_MS);
   }
 
