--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -68,27 +68,31 @@
     return true;
   }
 
+  /** Reads changed objects, and takes them over together so that no listener sees a part. */
   private async tryReadChanges(
     changes: readonly ObjectChange[],
   ): Promise<boolean> {
-    const results = await Promise.all(
-      changes.map(change => this.tryReadChange(change)),
+    const unknown = changes.filter(
+      ({key, version}) => this.view.getKnownVersion(key) < version,
     );
-    return results.every(isRead => isRead);
-  }
-
-  private async tryReadChange(change: ObjectChange): Promise<boolean> {
-    const {key, version, isDeleted} = change;
-    if (this.view.getKnownVersion(key) >= version) return true;
-    if (!isDeleted) return this.tryReadObject(key);
-    this.view.removeObject(key, version);
-    return true;
+    const reads = await Promise.all(
+      unknown
+        .filter(change => !change.isDeleted)
+        .map(({key}) => this.store.getObject(key)()),
+    );
+    const objects = reads.flatMap(read =>
+      E.isRight(read) && read.right !== undefined ? [read.right] : [],
+    );
+    this.view.applyObjects(objects);
+    for (const {key, version, isDeleted} of unknown) {
+      if (isDeleted) this.view.removeObject(key, version);
+    }
+    return reads.every(E.isRight);
   }
 
-  private async tryReadObject(key: string): Promise<boolean> {
+  private async tryReadObject(key: string): Promise<void> {
     const read = await this.store.getObject(key)();
-    if (E.isLeft(read)) return false;
-    if (read.right !== undefined) this.view.applyObject(read.right);
-    return true;
+    if (E.isRight(read) && read.right !== undefined)
+      this.view.applyObject(read.right);
   }
 }
