--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -38,6 +38,7 @@
 import {addPeerRoutes, type PeerServiceParts} from './peer_listener.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
+import {addRouteRoutes} from './route_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
@@ -268,6 +269,7 @@
       this.observe(exchange, result);
     };
     const handleCaller = (exchange: Exchange) => this.entry.handle(exchange);
+    addRouteRoutes(callers, this.view);
     addRequestRoutes(callers, 'caller', factory, handleCaller, observe);
     const peers = createListener(limits);
     await addPeerRoutes(peers, settings.peerKey, this.getPeerServiceParts());
@@ -357,10 +359,10 @@
   }
 
   private createPolicy(service: string, slots: number) {
-    const maxQueued =
+    const getMaxQueued = () =>
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
     const {slotPolicy, queuedBytes} = this.settings.limits;
-    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    const bounds = {getMaxQueued, maxQueuedBytes: queuedBytes};
     return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
