--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -46,6 +46,8 @@
   readonly serverMain?: string;
   /** Slot policy of the daemons; the default of the settings when absent. */
   readonly slotPolicy?: SlotPolicyName;
+  /** Whether daemons follow relays rather than the store; they do when absent. */
+  readonly isRelayed?: boolean;
 }
 
 const CALLER_PORT = 7101;
@@ -333,6 +335,7 @@
         ? {advertisedPeerAddress: {ip: host.ip, port: PEER_LINK_PORT}}
         : {}),
       peers,
+      relayed: this.options.isRelayed ?? true,
       peerKey: TEST_PEER_KEY,
       operatorKey: TEST_OPERATOR_KEY,
       limits: {slotPolicy: this.options.slotPolicy},
--- a/packages/bench/test/relays.process.test.ts
+++ b/packages/bench/test/relays.process.test.ts
@@ -65,47 +65,53 @@
   });
 }
 
-test.serial('a configuration reaches every daemon although the relay is paused, then killed', async t => {
-  await runWithFleet(t, async (fleet, deployment) => {
-    const relay = await findRelay(fleet);
-    const others = fleet.hosts.filter(host => host !== relay);
-    const [writer] = others;
-    if (writer === undefined) throw new Error('There is no other host.');
-    const submit = (maxQueued: number) =>
-      fleet.callOperator(writer, 'PUT', '/manifest', {
-        text: JSON.stringify({
-          services: {
-            menu: {...deployment.manifest.services['menu'], maxQueued},
-          },
-        }),
-      });
-    fleet.getDaemon(relay).signal('SIGSTOP');
-    await submit(100);
-    await waitForGeneration(fleet, others, 2);
-    fleet.getDaemon(relay).signal('SIGCONT');
-    await waitForGeneration(fleet, fleet.hosts, 2);
-    await fleet.getDaemon(relay).kill();
-    await submit(101);
-    await waitForGeneration(fleet, others, 3);
-  });
-});
-
-test.serial('a daemon that starts in an outage of the store takes what peers know', async t => {
-  await runWithFleet(t, async fleet => {
-    const late = fleet.hosts[4];
-    if (late === undefined) throw new Error('There is no such host.');
-    await fleet.getDaemon(late).kill();
-    await fleet.setStoreFaults({isOut: true});
-    await fleet.startDaemon(late);
-    await fleet.waitUntil(async () => {
-      const status = await fleet.getStatus(late);
-      const isInForce = status.manifestGeneration === 1;
-      return isInForce && !status.isReady && !status.isConfigurationFresh;
+test.serial(
+  'a configuration reaches every daemon although the relay is paused, then killed',
+  async t => {
+    await runWithFleet(t, async (fleet, deployment) => {
+      const relay = await findRelay(fleet);
+      const others = fleet.hosts.filter(host => host !== relay);
+      const [writer] = others;
+      if (writer === undefined) throw new Error('There is no other host.');
+      const submit = (maxQueued: number) =>
+        fleet.callOperator(writer, 'PUT', '/manifest', {
+          text: JSON.stringify({
+            services: {
+              menu: {...deployment.manifest.services['menu'], maxQueued},
+            },
+          }),
+        });
+      fleet.getDaemon(relay).signal('SIGSTOP');
+      await submit(100);
+      await waitForGeneration(fleet, others, 2);
+      fleet.getDaemon(relay).signal('SIGCONT');
+      await waitForGeneration(fleet, fleet.hosts, 2);
+      await fleet.getDaemon(relay).kill();
+      await submit(101);
+      await waitForGeneration(fleet, others, 3);
     });
-    await fleet.setStoreFaults({isOut: false});
-    await fleet.waitUntil(async () => {
-      const status = await fleet.getStatus(late);
-      return status.isReady && status.isConfigurationFresh;
+  },
+);
+
+test.serial(
+  'a daemon that starts in an outage of the store takes what peers know',
+  async t => {
+    await runWithFleet(t, async fleet => {
+      const late = fleet.hosts[4];
+      if (late === undefined) throw new Error('There is no such host.');
+      await fleet.getDaemon(late).kill();
+      await fleet.setStoreFaults({isOut: true});
+      await fleet.startDaemon(late);
+      await fleet.waitUntil(async () => {
+        const status = await fleet.getStatus(late);
+        const isInForce = status.manifestGeneration === 1;
+        return isInForce && !status.isReady && !status.isConfigurationFresh;
+      });
+      await fleet.setStoreFaults({isOut: false});
+      await fleet.waitUntil(async () => {
+        const status = await fleet.getStatus(late);
+        return status.isReady && status.isConfigurationFresh;
+      });
     });
-  });
-});
+  },
+);
