--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -17,6 +17,11 @@
 import type {Address} from '@dottereldrift/core/types.js';
 
 import {BurnReport} from './burn_report.js';
+import {
+  type ControlCounters,
+  CountingStore,
+  createCounters,
+} from './control_counters.js';
 import {Coordinator} from './coordinator.js';
 import type {DatagramChannel} from './datagram_channel.js';
 import {createNetworkEdges, type Edges} from './edges.js';
@@ -25,19 +30,23 @@
 import {ExchangeFactory} from './exchange_factory.js';
 import type {Forwarder} from './forwarder.js';
 import {GaugeReporter} from './gauge_reporter.js';
+import {LoadBook} from './load_book.js';
+import {LoadReporter} from './load_reporter.js';
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
 import {addPeerRoutes, type PeerServiceParts} from './peer_listener.js';
+import {PlacementPlanner} from './placement_planner.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addRouteRoutes} from './route_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import type {Settings} from './settings.js';
-import {StatusReader} from './status.js';
+import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
 import {Takeover} from './takeover.js';
+import {createViewParts, type ViewParts} from './view_parts.js';
 import {WitnessKeeper} from './witness_keeper.js';
 
 /** A running daemon. */
@@ -64,6 +73,8 @@
   private readonly metrics: Metrics;
   protected readonly store: ObjectStore;
   protected readonly view: StoreView;
+  private readonly counters: ControlCounters = createCounters();
+  private readonly viewParts: ViewParts;
   private readonly channel: DatagramChannel;
   protected readonly takeover: Takeover;
   protected readonly keeper: SessionKeeper;
@@ -74,6 +85,8 @@
   private readonly forwarder: Forwarder;
   protected readonly entry: Entry;
   private readonly coordinator: Coordinator;
+  private readonly loadBook: LoadBook;
+  private readonly loadReporter: LoadReporter;
   private readonly report: BurnReport;
   private readonly status: StatusReader;
   private readonly gauges: GaugeReporter;
@@ -89,8 +102,17 @@
     const {limits} = settings;
     const {peers} = edges;
     this.metrics = createMetrics(settings.statsdAddress);
-    this.store = edges.store;
-    this.view = new StoreView(this.store, system, this.log.createPart('store'));
+    this.store = new CountingStore(edges.store, this.counters);
+    this.view = new StoreView(system, this.log.createPart('store'));
+    this.viewParts = createViewParts(
+      settings,
+      system,
+      this.store,
+      this.view,
+      peers,
+      this.counters,
+      this.log,
+    );
     this.channel = edges.channel;
     const getSelf = () => this.keeper.getMember();
     this.takeover = new Takeover(
@@ -150,12 +172,25 @@
       settings.host,
     );
     this.report = new BurnReport(system);
+    this.loadBook = new LoadBook(system);
+    this.loadReporter = new LoadReporter(
+      system,
+      this.view,
+      peers,
+      this.loadBook,
+      getSelf,
+      this.log.createPart('load'),
+    );
+    this.owner.addAdmissionListener((service, start, position) => {
+      this.loadReporter.addRequest(service, start, position);
+    });
     this.status = new StatusReader(
       system,
       this.view,
       this.keeper,
       this.registry,
       this.owner,
+      () => this.readControl(),
     );
     this.gauges = new GaugeReporter(system, this.metrics, this.status);
     this.coordinator = new Coordinator(
@@ -167,6 +202,7 @@
       () => this.keeper.isHeld(),
       (service, owner, nextOwner, refs) =>
         this.mover.release(service, owner, nextOwner, refs),
+      new PlacementPlanner(this.view, this.loadBook),
       this.log.createPart('coordinator'),
     );
   }
@@ -188,7 +224,12 @@
     this.witnesses.start();
     this.registry.start();
     this.gauges.start();
-    this.running = [this.view.run(), this.keeper.run(), this.coordinator.run()];
+    this.running = [
+      this.viewParts.follower.run(),
+      this.keeper.run(),
+      this.coordinator.run(),
+      this.loadReporter.run(),
+    ];
     this.log.writeInfo('The daemon has started.', {host: this.settings.host});
   }
 
@@ -202,11 +243,13 @@
       SHUTDOWN_LIMIT_MS,
     );
     this.coordinator.stop();
+    this.loadReporter.stop();
     this.gauges.stop();
     this.witnesses.stop();
+    this.viewParts.relay.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
     await this.keeper.stop();
-    this.view.stop();
+    this.viewParts.follower.stop();
     await this.registry.stop();
     await this.edges.close();
     this.metrics.close();
@@ -257,6 +300,8 @@
       witnesses: this.witnesses,
       owner: this.owner,
       mover: this.mover,
+      loadBook: this.loadBook,
+      relay: this.viewParts.relay,
       system: this.system,
       getSelf: () => this.keeper.getMember(),
     };
@@ -286,8 +331,10 @@
   }
 
   private applyView(): void {
-    for (const {assignment} of this.view.getAssignments())
+    for (const {assignment} of this.view.getAssignments()) {
       this.owner.applyAssignment(assignment);
+      this.loadReporter.applyAssignment(assignment);
+    }
     this.witnesses.fenceEnded();
     this.registry.setDraining(this.view.isDraining(this.settings.host));
     this.registry.sendGrants();
@@ -333,6 +380,15 @@
     this.metrics.recordDurationMs('request', tookMs, tags);
   }
 
+  private readControl(): ControlStatus {
+    const {follower, relay} = this.viewParts;
+    return {
+      source: follower.getSource(),
+      followers: relay.getFollowerCount(),
+      ...this.counters,
+    };
+  }
+
   private hasNoSlices(): boolean {
     const {host} = this.settings;
     return this.view
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -81,6 +81,7 @@
         const result = await this.tryRoute(route, exchange);
         if (result.kind === 'answered') return result;
         failure = result.failure;
+        this.refreshRoute(exchange, failure);
         refused = createRefused(route, failure) ?? refused;
         if (failure.outcome === 'unknown') attemptsMade += 1;
       }
@@ -96,6 +97,14 @@
     }
   }
 
+  /** Learns the assignment that made the owner refuse, for the next try and for others. */
+  private refreshRoute(exchange: Exchange, failure: AttemptFailure): void {
+    const {ownerGeneration} = failure;
+    if (ownerGeneration === undefined) return;
+    const {service} = exchange.target;
+    void this.view.refreshAssignment(service, ownerGeneration);
+  }
+
   private drawDelayMs(retries: number, failure: AttemptFailure): number {
     const random = this.system.getRandom();
     return getRetryDelayMs(retries, failure.retryAfterMs, random);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -54,6 +54,13 @@
   readonly state: ServiceState;
 }
 
+/** Called back with each request that is admitted to a slice, given by its start. */
+export type AdmissionListener = (
+  service: ServiceName,
+  start: number,
+  position: number,
+) => void;
+
 /** What an owner needs to know of its session. */
 export type LeaseView = Pick<SessionKeeper, 'isHeld' | 'getMember' | 'getEnd'>;
 
@@ -68,6 +75,7 @@
   private readonly services = new Map<ServiceName, ServiceState>();
   private isClosing = false;
   private running = 0;
+  private onAdmission: AdmissionListener = () => {};
 
   constructor(
     private readonly system: System,
@@ -76,6 +84,10 @@
     private readonly limits: Limits,
   ) {}
 
+  addAdmissionListener(listener: AdmissionListener): void {
+    this.onAdmission = listener;
+  }
+
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
     const {gate, guard} = this.getState(assignment.service);
@@ -179,6 +191,7 @@
     ) {
       return refuse('DD3005', SHORT_RETRY_MS);
     }
+    this.onAdmission(service, answer.slice.start, position);
     return {exchange, server, slice: answer.slice, position, state};
   }
 
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -13,9 +13,12 @@
 
 import {KeyCheck} from './access.js';
 import {parseEntry} from './entry_codec.js';
+import type {LoadBook} from './load_book.js';
+import {parseReport} from './load_codec.js';
 import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Mover} from './mover.js';
 import type {Owner} from './owner.js';
+import type {RelayServer} from './relay_server.js';
 import type {WitnessKeeper} from './witness_keeper.js';
 
 /** What the peer service is answered from. */
@@ -23,6 +26,8 @@
   readonly witnesses: WitnessKeeper;
   readonly owner: Owner;
   readonly mover: Mover;
+  readonly loadBook: LoadBook;
+  readonly relay: RelayServer;
   readonly system: System;
   readonly getSelf: () => Member;
 }
@@ -83,6 +88,12 @@
         })),
       };
     },
+    reportLoad: request => {
+      parts.loadBook.receiveReport(parseReport(request));
+      return {};
+    },
+    followObjects: (request, context) =>
+      parts.relay.serveFollower(Number(request.revision), context.signal),
     handOverEntries: request => {
       const nextOwner = parseMember(request.nextOwner);
       if (nextOwner.incarnation !== parts.getSelf().incarnation)
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -5,10 +5,12 @@
 import {formatMember} from '@dottereldrift/core/member.js';
 import {getOwnedSlices} from '@dottereldrift/ownership/slices.js';
 
+import type {ControlCounters} from './control_counters.js';
 import type {Owner} from './owner.js';
 import type {ServerRegistry} from './server_registry.js';
 import type {SessionKeeper} from './session_keeper.js';
 import type {StoreView} from './store_view.js';
+import type {ViewSource} from './view_follower.js';
 
 /** Silence of the store after which the configuration may be out of date. */
 const FRESHNESS_LIMIT_MS = 30_000;
@@ -24,6 +26,13 @@
   readonly isLeaving: boolean;
 }
 
+/** What control has cost since the daemon started, and where its view comes from. */
+export interface ControlStatus extends Readonly<ControlCounters> {
+  readonly source: ViewSource;
+  /** Daemons that follow this one. */
+  readonly followers: number;
+}
+
 /** Status of a daemon. */
 export interface DaemonStatus {
   readonly member: string;
@@ -36,6 +45,7 @@
   /** False when the store has been silent so long that a newer configuration may exist. */
   readonly isConfigurationFresh: boolean;
   readonly liveHosts: number;
+  readonly control: ControlStatus;
   readonly services: readonly ServiceStatus[];
 }
 
@@ -47,6 +57,7 @@
     private readonly keeper: SessionKeeper,
     private readonly registry: ServerRegistry,
     private readonly owner: Owner,
+    private readonly readControl: () => ControlStatus,
   ) {}
 
   readStatus(): DaemonStatus {
@@ -62,6 +73,7 @@
       witnesses: (this.keeper.getSession()?.witnesses ?? []).map(formatMember),
       manifestGeneration,
       isConfigurationFresh: this.view.getSilenceMs() < FRESHNESS_LIMIT_MS,
+      control: this.readControl(),
       liveHosts: this.view.getLiveSessions().length,
       services: this.registry
         .getServers()
--- a/packages/scenario/src/virtual_daemon.ts
+++ b/packages/scenario/src/virtual_daemon.ts
@@ -1,7 +1,11 @@
 /**
  * A daemon in virtual time: the program's own parts between edges that stand in for the network.
  */
-import {createClient, createRouterTransport} from '@connectrpc/connect';
+import {
+  type CallOptions,
+  createClient,
+  createRouterTransport,
+} from '@connectrpc/connect';
 import {create} from '@bufbuild/protobuf';
 
 import type {Log} from '@dottereldrift/core/log.js';
@@ -39,10 +43,15 @@
   HeartbeatAnswerSchema,
   HeartbeatSchema,
 } from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
-import {PeerService} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+import {
+  type FollowObjectsRequest,
+  type FollowObjectsResponse,
+  PeerService,
+} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
 
 import type {VirtualProcess} from './virtual_clock.js';
 import {CallError, type Place, type VirtualNetwork} from './virtual_network.js';
+import {receiveStream} from './virtual_stream.js';
 
 /** Time beyond the deadline in which the owner's own word is awaited. */
 const GRACE_MS = 30;
@@ -197,11 +206,31 @@
   ) {}
 
   getClient(address: Address): PeerClient {
-    const getMethod = (_target: object, name: string) => (request: object) =>
-      this.call(address, name, request);
+    const getMethod =
+      (_target: object, name: string) =>
+      (request: FollowObjectsRequest, options?: CallOptions) =>
+        name === 'followObjects'
+          ? this.watchObjects(address, request, options)
+          : this.call(address, name, request);
     return new Proxy({}, {get: getMethod}) as PeerClient;
   }
 
+  private watchObjects(
+    address: Address,
+    request: FollowObjectsRequest,
+    options: CallOptions | undefined,
+  ): AsyncIterable<FollowObjectsResponse> {
+    const peer = this.findPeer(address);
+    if (peer === undefined) throw new CallError('refused');
+    return receiveStream(
+      this.network,
+      this.self,
+      peer.place,
+      signal => peer.peerService.followObjects(request, {signal}),
+      options?.signal ?? new AbortController().signal,
+    );
+  }
+
   private call(
     address: Address,
     name: string,
