--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -156,7 +156,8 @@
         retentionMs: 1e9,
       });
       for (let index = 0; index < count; index++) {
-        window.startRequest(`once-${index}`, hashKey(`key-${index}`), index);
+        const name = {idempotencyKey: `once-${index}`, fingerprint: 'bench'};
+        window.startRequest(name, hashKey(`key-${index}`), index);
       }
       return window;
     });
@@ -182,6 +183,8 @@
     const sequence =
       datagram.body.case === 'heartbeat' ? datagram.body.value.sequence : 0n;
     witness.sendAnswer(from, {
+      host: 'host-0002',
+      incarnation: 'abcdefgh0002',
       witnessHost: 'host-0001',
       witnessIncarnation: 'abcdefgh0001',
       sequence: Number(sequence),
--- a/packages/scenario/src/virtual_daemon.ts
+++ b/packages/scenario/src/virtual_daemon.ts
@@ -297,7 +297,7 @@
   pass(sink: AnswerSink): void {
     sink.startAnswer(this.status, this.headers);
     for (const chunk of this.chunks) sink.writeChunk(chunk);
-    if (this.isWhole) sink.endAnswer();
+    if (this.isWhole) sink.endAnswer({});
     else sink.abort();
   }
 }
--- a/packages/scenario/src/virtual_server.ts
+++ b/packages/scenario/src/virtual_server.ts
@@ -103,7 +103,9 @@
     this.running -= 1;
     this.waiting.shift()?.();
     const requestId = getText(headers, 'request-id');
-    return {status: 200, headers: {}, body: JSON.stringify({requestId})};
+    const body = JSON.stringify({requestId});
+    const length = String(Buffer.byteLength(body));
+    return {status: 200, headers: {'content-length': length}, body};
   }
 
   private createRecord(headers: RequestHeaders): RunRecord {
