Show that scenarios fail with the rule that they guard switched off

Eight rules, one for each promise, are switched off in turn; the scenario that passes otherwise shows the promise as broken. A quarter of the requests in virtual time now run long, so that some are in flight at any moment; with 3% a shutdown that waits for nothing was not noticed.

Tried and left out: switching off the rule that a non-idempotent request is not sent again. It broke nothing in these scenarios, because what is lost is noticed only at the deadline, when no time for another attempt is left; tests of the entry cover it.

--- a/packages/scenario/src/virtual_server.ts
+++ b/packages/scenario/src/virtual_server.ts
@@ -19,7 +19,7 @@
 const SERVICE_MS = 4;
 const LONG_SERVICE_MS = 400;
 /** Share of requests that run long, so that some are in flight at any moment. */
-const LONG_SHARE = 0.03;
+const LONG_SHARE = 0.25;
 const CALL_TIMEOUT_MS = 60_000;
 const GRANTS_PATH = '/dottereldrift/grants/';
 
--- /dev/null
+++ b/packages/scenario/test/broken_rules.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Tests of the tests: with one rule of the program switched off, a scenario that passes otherwise
+ * shows the promise that the rule keeps as broken.
+ */
+import test from 'ava';
+import * as E from 'fp-ts/lib/Either.js';
+
+import type {AttemptResult} from '@dottereldrift/daemon/exchange.js';
+import {ASSIGNMENT_PREFIX} from '@dottereldrift/ownership/assignment_record.js';
+import type {MemoryStore} from '@dottereldrift/store/memory_store.js';
+
+import {findBroken} from '../src/evidence.js';
+import {readScripts} from '../src/parse_script.js';
+import type {Promised} from '../src/script.js';
+import type {VirtualDaemon} from '../src/virtual_daemon.js';
+import {runVirtually, type WorldOptions} from '../src/virtual_world.js';
+
+/** A rule that is switched off. */
+interface BrokenRule {
+  readonly rule: string;
+  readonly promise: Promised;
+  readonly scenario: string;
+  readonly options: Omit<WorldOptions, 'seed'>;
+}
+
+const SEED = 1;
+
+const BROKEN_RULES: readonly BrokenRule[] = [
+  {
+    rule: 'the lease is checked by the owner and the grant by the server',
+    promise: 'one-owner',
+    scenario: 'a host is cut off',
+    options: {
+      isFencing: false,
+      onDaemon: daemon => {
+        daemon.getParts().keeper.isHeld = () => true;
+      },
+    },
+  },
+  {
+    rule: 'an owner knows the repeats of a request',
+    promise: 'at-most-once',
+    scenario: 'a host hears and is not heard',
+    options: {onDaemon: runRepeats},
+  },
+  {
+    rule: 'a lost answer is told as unknown',
+    promise: 'not-run',
+    scenario: 'a host hears and is not heard',
+    options: {onDaemon: callUnknownNotRun},
+  },
+  {
+    rule: 'callers get the answer to their own request',
+    promise: 'own-answer',
+    scenario: 'two operators apply at once',
+    options: {onDaemon: mixAnswersUp},
+  },
+  {
+    rule: 'an owner refuses work for what leaves',
+    promise: 'leaving',
+    scenario: 'a host is cut off from the store only',
+    options: {
+      onDaemon: daemon => {
+        daemon.getParts().registry.isAccepting = () => true;
+      },
+    },
+  },
+  {
+    rule: 'a shutdown waits for what is in flight',
+    promise: 'graceful-shutdown',
+    scenario: 'two operators apply at once',
+    options: {
+      onDaemon: daemon => {
+        daemon.stop = () => Promise.resolve();
+      },
+    },
+  },
+  {
+    rule: 'an accepted manifest is applied',
+    promise: 'configuration',
+    scenario: 'two operators apply at once',
+    options: {onDaemon: keepFirstManifest},
+  },
+  {
+    rule: 'an acknowledged assignment is kept by the store',
+    promise: 'assignment-survives',
+    scenario: 'a host is lost',
+    options: {onStore: loseAssignments},
+  },
+];
+
+for (const {rule, promise, scenario, options} of BROKEN_RULES) {
+  test(`${promise} is seen as broken unless ${rule}`, async t => {
+    const script = readScripts().find(other => other.name === scenario);
+    if (script === undefined) throw new Error(`There is no ${scenario}.`);
+    const evidence = await runVirtually(script, {seed: SEED, ...options});
+    const broken = findBroken(script, evidence);
+    t.true(broken.some(line => line.startsWith(`${promise}:`)));
+  });
+}
+
+function runRepeats(daemon: VirtualDaemon): void {
+  const owner = daemon.getParts().owner as unknown as Record<string, unknown>;
+  owner['runOnce'] = owner['runInSlot'];
+}
+
+function callUnknownNotRun(daemon: VirtualDaemon): void {
+  const {entry} = daemon.getParts();
+  const handle = entry.handle.bind(entry);
+  entry.handle = async (exchange): Promise<AttemptResult> => {
+    const result = await handle(exchange);
+    if (result.kind === 'answered') return result;
+    return {kind: 'failed', failure: {...result.failure, outcome: 'not-run'}};
+  };
+}
+
+function mixAnswersUp(daemon: VirtualDaemon): void {
+  const serve = daemon.serveCaller.bind(daemon);
+  let previous = '';
+  daemon.serveCaller = async createExchange => {
+    const answer = await serve(createExchange);
+    const body = previous;
+    previous = answer.body;
+    return {...answer, body};
+  };
+}
+
+function keepFirstManifest(daemon: VirtualDaemon): void {
+  const {view} = daemon.getParts();
+  const getManifest = view.getManifest.bind(view);
+  let first = getManifest();
+  view.getManifest = () => {
+    first ??= getManifest();
+    return first;
+  };
+}
+
+function loseAssignments(memory: MemoryStore): void {
+  const update = memory.updateObject.bind(memory);
+  memory.updateObject = (key, expectedVersion, value) =>
+    key.startsWith(ASSIGNMENT_PREFIX)
+      ? () => Promise.resolve(E.right(expectedVersion + 1))
+      : update(key, expectedVersion, value);
+}
