--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -194,6 +194,22 @@
     return (await answer.body.json()) as StoreCounts;
   }
 
+  /** Returns the objects in the store, as it is, by key. */
+  async readStoreObjects(
+    prefix: string,
+  ): Promise<ReadonlyMap<string, Uint8Array>> {
+    const answer = await request(`${this.storeUrl}/objects?prefix=${prefix}`);
+    const body = (await answer.body.json()) as {
+      readonly objects: ReadonlyArray<{
+        readonly key: string;
+        readonly value: string;
+      }>;
+    };
+    return new Map(
+      body.objects.map(({key, value}) => [key, Buffer.from(value, 'base64')]),
+    );
+  }
+
   /** Changes what passes between a host's daemon and the store. */
   setStoreLink(host: FleetHost, rule: Partial<LinkRule>): void {
     this.getLink(this.storeLinks, host).setRule({...CLEAR_LINK, ...rule});
--- a/packages/scenario/src/virtual_world.ts
+++ b/packages/scenario/src/virtual_world.ts
@@ -2,34 +2,20 @@
  * Runs a script in virtual time: the program's own daemons over stand-ins of network, store and
  * backend servers. The same script with the same seed leaves the same trace.
  */
-import {createHash} from 'node:crypto';
-
 import * as E from 'fp-ts/lib/Either.js';
 
+import type {Departure} from '@dottereldrift/bench/judge.js';
 import {
-  type Absence,
-  type AssignmentSample,
-  type ConfigurationSample,
-  type Departure,
-  STORE_OBSERVER,
-} from '@dottereldrift/bench/judge.js';
-import {
-  ACCEPTED_MANIFEST_KEY,
   DRAIN_PREFIX,
   SUBMITTED_MANIFEST_KEY,
 } from '@dottereldrift/daemon/store_view.js';
-import type {AcceptedManifest} from '@dottereldrift/manifest/types.js';
-import {
-  ASSIGNMENT_PREFIX,
-  encodeAssignment,
-  getAssignmentKey,
-  parseAssignment,
-} from '@dottereldrift/ownership/assignment_record.js';
+import {ASSIGNMENT_PREFIX} from '@dottereldrift/ownership/assignment_record.js';
 import {getOwnedSlices} from '@dottereldrift/ownership/slices.js';
 import type {RunRecord} from '@dottereldrift/standins/backend_server.js';
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
 import type {ObjectStore} from '@dottereldrift/store/types.js';
 
+import {AbsenceLog} from './absence_log.js';
 import type {Evidence} from './evidence.js';
 import {createManifest} from './manifest.js';
 import type {Action, HostPart, Script} from './script.js';
@@ -37,6 +23,7 @@
 import type {VirtualDaemon} from './virtual_daemon.js';
 import {VirtualHost} from './virtual_host.js';
 import {STORE_PLACE, VirtualNetwork} from './virtual_network.js';
+import {VirtualSampler} from './virtual_sampler.js';
 import type {SharedStore} from './virtual_store.js';
 import {VirtualTraffic} from './virtual_traffic.js';
 
@@ -53,7 +40,6 @@
 
 const READY_STEP_MS = 100;
 const READY_LIMIT_MS = 30_000;
-const SAMPLE_INTERVAL_MS = 250;
 const RETRY_INTERVAL_MS = 500;
 /** Time after the traffic for the last answers and for the last configuration. */
 const SETTLE_MS = 12_000;
@@ -76,12 +62,9 @@
   private readonly traffic: VirtualTraffic;
   private readonly records: RunRecord[] = [];
   private readonly departures: Departure[] = [];
-  private readonly absences: Absence[] = [];
-  private readonly configurations: ConfigurationSample[] = [];
-  private readonly assignments: AssignmentSample[] = [];
+  private readonly absences: AbsenceLog;
+  private readonly sampler: VirtualSampler;
   private readonly trace: string[] = [];
-  /** Since when hosts are away, by what took them away. */
-  private readonly awaySince = new Map<string, number>();
   private startedAtMs = 0;
   private editions = 1;
 
@@ -91,8 +74,15 @@
   ) {
     this.clock = new VirtualClock(options.seed);
     this.network = new VirtualNetwork(this.clock);
+    this.absences = new AbsenceLog(() => this.clock.getNow().monotonicMs);
     this.store = this.createStore();
     this.hosts = this.createHosts();
+    this.sampler = new VirtualSampler(
+      this.clock,
+      script.service,
+      this.store.memory,
+      () => this.listPresent(),
+    );
     const callers = {
       name: 'callers',
       process: new VirtualProcess('callers', this.clock),
@@ -116,7 +106,7 @@
     this.options.onStore?.(this.store.memory);
     this.startedAtMs = this.clock.getNow().monotonicMs;
     this.traffic.start();
-    this.startSampling();
+    this.sampler.start();
     for (const {atMs, text, action} of this.script.actions) {
       this.clock.startTimer(atMs, () => {
         this.trace.push(this.formatLine(`-- ${text}`));
@@ -126,14 +116,13 @@
     const endMs =
       this.clock.getElapsedMs() + this.script.durationMs + SETTLE_MS;
     await this.clock.runUntil(endMs);
-    this.endAbsences();
     return {
       results: this.traffic.results,
       records: this.records,
       departures: this.departures,
-      absences: this.absences,
-      configurations: this.configurations,
-      assignments: this.assignments,
+      absences: this.absences.takeAll(),
+      configurations: this.sampler.configurations,
+      assignments: this.sampler.assignments,
       startedAtMs: this.startedAtMs,
       trace: this.trace,
     };
@@ -148,7 +137,7 @@
       outageListeners: new Set(),
       onAcknowledged: (key, value) => {
         if (key.startsWith(ASSIGNMENT_PREFIX))
-          this.addAssignment('acknowledged', value);
+          this.sampler.addAssignment('acknowledged', value);
       },
     };
   }
@@ -205,7 +194,7 @@
         return this.killHost(this.findHost(action.host), action.part);
       case 'start':
         this.findHost(action.host).restart();
-        return this.endAbsence(action.host, 'kill');
+        return this.absences.end(action.host, 'kill');
       case 'freeze':
         return this.freezeHost(this.findHost(action.host), action.part);
       case 'continue':
@@ -215,12 +204,12 @@
       case 'cut-store':
         this.network.cutPath(action.host, STORE_PLACE);
         this.network.cutPath(STORE_PLACE, action.host);
-        return this.startAbsence(action.host, 'cut');
+        return this.absences.start(action.host, 'cut');
       case 'delay':
         return this.network.setDelayMs(action.host, action.delayMs);
       case 'restore':
         this.network.reset();
-        for (const host of this.hosts) this.endAbsence(host.name, 'cut');
+        for (const host of this.hosts) this.absences.end(host.name, 'cut');
         return;
       case 'hot-key':
         return this.traffic.setHotKey(action.oneIn);
@@ -267,7 +256,7 @@
   private killHost(host: VirtualHost, part: HostPart): void {
     if (part !== 'server') {
       host.daemon.place.process.kill();
-      this.startAbsence(host.name, 'kill');
+      this.absences.start(host.name, 'kill');
     }
     if (part !== 'daemon') host.server.place.process.kill();
   }
@@ -275,7 +264,7 @@
   private freezeHost(host: VirtualHost, part: HostPart): void {
     if (part !== 'server') {
       host.daemon.place.process.freeze();
-      this.startAbsence(host.name, 'freeze');
+      this.absences.start(host.name, 'freeze');
     }
     if (part !== 'daemon') host.server.place.process.freeze();
   }
@@ -283,7 +272,7 @@
   private continueHost(host: VirtualHost): void {
     host.daemon.place.process.continue();
     host.server.place.process.continue();
-    this.endAbsence(host.name, 'freeze');
+    this.absences.end(host.name, 'freeze');
   }
 
   private cutHost(name: string, lost: 'both' | 'incoming' | 'outgoing'): void {
@@ -293,7 +282,7 @@
       if (lost !== 'incoming') this.network.cutPath(name, other);
       if (lost !== 'outgoing') this.network.cutPath(other, name);
     }
-    this.startAbsence(name, 'cut');
+    this.absences.start(name, 'cut');
   }
 
   private async drainHost(name: string): Promise<void> {
@@ -352,79 +341,23 @@
     }
   }
 
-  private startSampling(): void {
-    this.sample();
-    this.clock.startTimer(SAMPLE_INTERVAL_MS, () => {
-      this.startSampling();
-    });
-  }
-
-  private sample(): void {
-    const atMs = this.clock.getNow().monotonicMs;
-    for (const {name, daemon} of this.hosts) {
-      const {process} = daemon.place;
-      if (!process.isRunning() || this.awaySince.has(`${name} freeze`))
-        continue;
-      const generation = daemon.getView().getManifest()?.generation ?? 0;
-      this.configurations.push({host: name, atMs, generation});
-      for (const {assignment} of daemon.getView().getAssignments())
-        this.addAssignment(name, encodeAssignment(assignment));
-    }
-    void this.sampleStore(atMs);
-  }
-
-  private async sampleStore(atMs: number): Promise<void> {
-    const {memory} = this.store;
-    const accepted = await memory.getObject(ACCEPTED_MANIFEST_KEY)();
-    if (E.isRight(accepted) && accepted.right !== undefined) {
-      const text = Buffer.from(accepted.right.value).toString('utf8');
-      const {generation} = JSON.parse(text) as AcceptedManifest;
-      this.configurations.push({host: STORE_OBSERVER, atMs, generation});
-    }
-    const key = getAssignmentKey(this.script.service);
-    const assignment = await memory.getObject(key)();
-    if (E.isRight(assignment) && assignment.right !== undefined)
-      this.addAssignment(STORE_OBSERVER, assignment.right.value);
-  }
-
-  private addAssignment(observer: string, value: Uint8Array): void {
-    const {service, generation} = parseAssignment(value);
-    const digest = createHash('sha256').update(value).digest('base64url');
-    this.assignments.push({observer, service, generation, digest});
+  /** Hosts whose daemons run. */
+  private listPresent(): readonly VirtualHost[] {
+    return this.hosts.filter(
+      ({name, daemon}) =>
+        daemon.place.process.isRunning() &&
+        !this.absences.isAway(name, 'freeze'),
+    );
   }
 
   private addDeparture(host: string): void {
     this.departures.push({host, atMs: this.clock.getNow().monotonicMs});
   }
 
-  private startAbsence(host: string, cause: string): void {
-    const nowMs = this.clock.getNow().monotonicMs;
-    const name = `${host} ${cause}`;
-    if (!this.awaySince.has(name)) this.awaySince.set(name, nowMs);
-  }
-
-  private endAbsence(host: string, cause: string): void {
-    const fromMs = this.awaySince.get(`${host} ${cause}`);
-    if (fromMs === undefined) return;
-    this.awaySince.delete(`${host} ${cause}`);
-    const untilMs = this.clock.getNow().monotonicMs;
-    this.absences.push({host, fromMs, untilMs});
-  }
-
-  private endAbsences(): void {
-    for (const name of [...this.awaySince.keys()]) {
-      const [host = '', cause = ''] = name.split(' ');
-      this.endAbsence(host, cause);
-    }
-  }
-
   /** Operators speak to a daemon that is neither away nor the one concerned. */
   private findOperatorHost(concerned: string): VirtualHost {
-    const away = new Set(
-      [...this.awaySince.keys()].map(name => name.split(' ')[0]),
-    );
     const found = this.hosts.find(
-      host => host.name !== concerned && !away.has(host.name),
+      ({name}) => name !== concerned && !this.absences.isAway(name),
     );
     return found ?? this.getHost(0);
   }
--- a/packages/scenario/test/broken_rules.test.ts
+++ b/packages/scenario/test/broken_rules.test.ts
@@ -53,7 +53,7 @@
     rule: 'callers get the answer to their own request',
     promise: 'own-answer',
     scenario: 'two operators apply at once',
-    options: {onDaemon: mixAnswersUp},
+    options: {onDaemon: setWrongAnswers},
   },
   {
     rule: 'an owner refuses work for what leaves',
@@ -85,7 +85,7 @@
     rule: 'an acknowledged assignment is kept by the store',
     promise: 'assignment-survives',
     scenario: 'a host is lost',
-    options: {onStore: loseAssignments},
+    options: {onStore: dropAssignments},
   },
 ];
 
@@ -114,7 +114,7 @@
   };
 }
 
-function mixAnswersUp(daemon: VirtualDaemon): void {
+function setWrongAnswers(daemon: VirtualDaemon): void {
   const serve = daemon.serveCaller.bind(daemon);
   let previous = '';
   daemon.serveCaller = async createExchange => {
@@ -135,7 +135,7 @@
   };
 }
 
-function loseAssignments(memory: MemoryStore): void {
+function dropAssignments(memory: MemoryStore): void {
   const update = memory.updateObject.bind(memory);
   memory.updateObject = (key, expectedVersion, value) =>
     key.startsWith(ASSIGNMENT_PREFIX)
--- /dev/null
+++ b/packages/scenario/test/scenarios.process.test.ts
@@ -0,0 +1,22 @@
+/**
+ * The scenarios that are marked for it, on real processes.
+ */
+import test from 'ava';
+
+import {findBroken} from '../src/evidence.js';
+import {readScripts} from '../src/parse_script.js';
+import {runOnProcesses} from '../src/process_world.js';
+
+const SEED = 1;
+
+for (const script of readScripts()) {
+  if (!script.isForProcesses) continue;
+  test.serial(`processes "${script.name}"`, async t => {
+    const evidence = await runOnProcesses(script, SEED);
+    t.deepEqual(findBroken(script, evidence), []);
+    const completed = evidence.results.filter(
+      result => result.outcome === 'completed',
+    );
+    t.true(completed.length > evidence.results.length / 2);
+  });
+}
