--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -156,8 +156,11 @@
         retentionMs: 1e9,
       });
       for (let index = 0; index < count; index++) {
-        const name = {idempotencyKey: `once-${index}`, fingerprint: 'bench'};
-        window.startRequest(name, hashKey(`key-${index}`), index);
+        window.startRequest(
+          {idempotencyKey: `once-${index}`, fingerprint: ''},
+          hashKey(`key-${index}`),
+          index,
+        );
       }
       return window;
     });
@@ -183,8 +186,8 @@
     const sequence =
       datagram.body.case === 'heartbeat' ? datagram.body.value.sequence : 0n;
     witness.sendAnswer(from, {
-      host: 'host-0002',
-      incarnation: 'abcdefgh0002',
+      host: 'host-0000',
+      incarnation: 'abcdefgh0000',
       witnessHost: 'host-0001',
       witnessIncarnation: 'abcdefgh0001',
       sequence: Number(sequence),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -30,6 +30,7 @@
 import {Owner} from './owner.js';
 import {addPeerRoutes, type PeerServiceParts} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
+import {addRouteRoutes} from './route_listener.js';
 import {addServerRoutes} from './server_listener.js';
 import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
@@ -225,6 +226,7 @@
       this.observe(exchange, result);
     };
     const handleCaller = (exchange: Exchange) => this.entry.handle(exchange);
+    addRouteRoutes(callers, this.view);
     addRequestRoutes(callers, 'caller', factory, handleCaller, observe);
     const peers = createListener(limits);
     await addPeerRoutes(peers, settings.peerKey, this.getPeerServiceParts());
@@ -310,10 +312,10 @@
   }
 
   private createPolicy(service: string, slots: number) {
-    const maxQueued =
+    const getMaxQueued = () =>
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
     const {slotPolicy, queuedBytes} = this.settings.limits;
-    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    const bounds = {getMaxQueued, maxQueuedBytes: queuedBytes};
     return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -16,12 +16,14 @@
 import {SlotQueue} from './slot_queue.js';
 import type {SlotPolicy, SlotRequest} from './types.js';
 import {WaitEstimator} from './wait_estimator.js';
-import type {ServingOrder, Waiting} from './waiting_list.js';
+import type {Waiting} from './waiting_list.js';
 
 const SWEEP_INTERVAL_MS = 20;
 /** Waits that are shorter are never refused for their length. */
 const MIN_BOUND_MS = 5;
 const MIN_RETRY_AFTER_MS = 20;
+/** Why a request that waits is refused: expired, too late to finish, or waiting too long. */
+const DROP_CODES = ['DD3006', 'DD3012', 'DD3025'] as const;
 const MAX_RETRY_AFTER_MS = 1_000;
 
 /** Slots given by service time, deadline, priority and caller. */
@@ -31,8 +33,6 @@
   private readonly running = new Set<RunningRequest>();
   private readonly order: KindOrder;
   private readonly estimator: WaitEstimator;
-  private readonly createdAtMs: number;
-  private readonly servingOrder: ServingOrder;
   private isStarting = false;
   private isSweeping = false;
 
@@ -40,11 +40,10 @@
     private readonly system: System,
     private slots: number,
     private readonly options: AdaptiveOptions,
+    private readonly getMaxQueued: () => number,
   ) {
     this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
     this.estimator = new WaitEstimator(this.order);
-    this.servingOrder = options.isNewestFirst ? 'newest' : 'oldest';
-    this.createdAtMs = system.getNow().monotonicMs;
   }
 
   requestSlot(request: SlotRequest): () => void {
@@ -115,7 +114,7 @@
     const {isDeadlineChecked} = this.options;
     const isFirst = kind.running === 0 && kind.waiting.getSize() === 0;
     if (isFirst) return undefined;
-    const finishAtMs = nowMs + waitMs + kind.estimate.getTypicalMs();
+    const finishAtMs = nowMs + waitMs + kind.estimate.getUsualMs();
     if (isDeadlineChecked && finishAtMs > request.deadlineAtMs) return 'DD3012';
     if (waitMs > getBoundMs(kind, this.options.waitMultiple)) return 'DD3011';
     return undefined;
@@ -123,11 +122,11 @@
 
   /** Makes room by dropping requests of lower priority, the newest first. */
   private findSpaceRefusal(request: SlotRequest): MessageCode | undefined {
-    const {maxQueued, maxQueuedBytes} = this.options;
+    const {maxQueuedBytes} = this.options;
     if (request.bytes > maxQueuedBytes) return 'DD3011';
     for (;;) {
       const hasRoom =
-        this.queue.getSize() < maxQueued &&
+        this.queue.getSize() < this.getMaxQueued() &&
         this.queue.getBytes() + request.bytes <= maxQueuedBytes;
       if (hasRoom) return undefined;
       const victim = this.options.isWeighted
@@ -166,10 +165,7 @@
     if (this.isStarting || this.queue.getSize() === 0) return;
     this.isStarting = true;
     const nowMs = this.system.getNow().monotonicMs;
-    while (
-      this.queue.getSize() > 0 &&
-      this.running.size < this.getUsableSlots(nowMs)
-    ) {
+    while (this.queue.getSize() > 0 && this.running.size < this.slots) {
       const kind = this.chooseKind(nowMs);
       if (kind === undefined) break;
       this.startNext(kind, nowMs);
@@ -178,7 +174,7 @@
   }
 
   private startNext(kind: KindState, nowMs: number): void {
-    const waiting = this.queue.take(kind, this.servingOrder);
+    const waiting = this.queue.take(kind, 'oldest');
     if (waiting === undefined) return;
     const code = this.findDropReason(waiting, kind, nowMs);
     if (code === undefined) this.startRequest(waiting.request, kind, nowMs);
@@ -186,18 +182,17 @@
   }
 
   private chooseKind(nowMs: number): KindState | undefined {
-    const order = this.servingOrder;
     if (this.hasLongSlot(nowMs))
-      return this.order.choose(this.queue.getKinds(), order);
+      return this.order.choose(this.queue.getKinds());
     const shortestMs = this.getShortestMs();
     const short = [...this.queue.getKinds()].filter(
       kind => !isLongKind(kind, shortestMs),
     );
-    return this.order.choose(short, order);
+    return this.order.choose(short);
   }
 
   private mayStart(kind: KindState, nowMs: number): boolean {
-    if (this.running.size >= this.getUsableSlots(nowMs)) return false;
+    if (this.running.size >= this.slots) return false;
     if (this.options.reservedShare === 0) return true;
     return !isLongKind(kind, this.getShortestMs()) || this.hasLongSlot(nowMs);
   }
@@ -230,8 +225,7 @@
   ): number {
     const {reservedShare} = this.options;
     const isLong = reservedShare > 0 && isLongKind(kind, this.getShortestMs());
-    const usable = this.getUsableSlots(nowMs);
-    const slots = isLong ? getLongSlots(usable, reservedShare) : usable;
+    const slots = isLong ? getLongSlots(this.slots, reservedShare) : this.slots;
     return this.estimator.computeWaitMs(
       {
         kind,
@@ -250,18 +244,15 @@
     nowMs: number,
   ): MessageCode | undefined {
     if (request.deadlineAtMs <= nowMs) return 'DD3006';
+    const isHopeless =
+      this.options.isDeadlineChecked &&
+      kind.running > 0 &&
+      nowMs + kind.estimate.getTypicalMs() > request.deadlineAtMs;
+    if (isHopeless) return 'DD3012';
     const boundMs = getBoundMs(kind, this.options.dropMultiple);
     return nowMs - arrivedAtMs > boundMs ? 'DD3025' : undefined;
   }
 
-  private getUsableSlots(nowMs: number): number {
-    const {slowStartMs} = this.options;
-    const ageMs = nowMs - this.createdAtMs;
-    if (ageMs >= slowStartMs) return this.slots;
-    const grown = Math.floor((this.slots * ageMs) / slowStartMs);
-    return Math.min(this.slots, Math.max(1, grown));
-  }
-
   /** While requests wait, looks now and then for those whose time has passed. */
   private startSweep(): void {
     if (this.isSweeping) return;
@@ -276,14 +267,12 @@
 
   private refuseOverdue(): void {
     const nowMs = this.system.getNow().monotonicMs;
-    const expired = this.queue.takeWhere(
-      waiting => waiting.request.deadlineAtMs <= nowMs,
-    );
-    const dropped = this.queue.takeWhere(
-      (waiting, kind) => this.findDropReason(waiting, kind, nowMs) === 'DD3025',
-    );
-    this.refuseEach(expired, 'DD3006');
-    this.refuseEach(dropped, 'DD3025');
+    for (const code of DROP_CODES) {
+      const dropped = this.queue.takeWhere(
+        (waiting, kind) => this.findDropReason(waiting, kind, nowMs) === code,
+      );
+      this.refuseEach(dropped, code);
+    }
   }
 
   private refuseEach(refused: readonly Waiting[], code: MessageCode): void {
--- a/packages/scenario/src/virtual_server.ts
+++ b/packages/scenario/src/virtual_server.ts
@@ -159,7 +159,11 @@
       answer => {
         if (controller.aborted) return;
         const body = Buffer.from(answer.body);
-        handler.onResponseStart?.(controller, answer.status, answer.headers);
+        const headers = {
+          ...answer.headers,
+          'content-length': String(body.byteLength),
+        };
+        handler.onResponseStart?.(controller, answer.status, headers);
         handler.onResponseData?.(controller, body);
         handler.onResponseEnd?.(controller, {});
       },
