--- a/packages/standins/src/link.ts
+++ b/packages/standins/src/link.ts
@@ -107,8 +107,8 @@
       socket.on('error', () => {});
       socket.once('close', () => {
         this.sockets.delete(socket);
-        source.destroy();
-        target.destroy();
+        source.destroySoon();
+        target.destroySoon();
       });
     }
     void this.passStream(source, target, sourceIp, 'requests');
