--- a/packages/scenario/src/virtual_network.ts
+++ b/packages/scenario/src/virtual_network.ts
@@ -83,9 +83,10 @@
       const cancel = from.process.startTimer(timeoutMs, () => {
         fail('timeout');
       });
+      let hasArrived = false;
       const stopWatching = to.process.watchEnd(() => {
         from.process.deliver(() => {
-          fail('broken');
+          fail(hasArrived ? 'broken' : 'refused');
         });
       });
       if (!to.process.isRunning()) {
@@ -95,8 +96,10 @@
         return;
       }
       this.send(from.name, to, () => {
+        hasArrived = true;
         run().then(
           value => {
+            stopWatching();
             this.send(to.name, from, () => {
               finish(() => {
                 resolve(value);
