Let the entry's view refresh an assignment

The merged entry names the parts of the view that it needs; refreshing an assignment after a refusal with a higher generation was missing there, so that the merge did not compile. The fake of the entry's tests gets the method; no check changes.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -41,7 +41,11 @@
 /** What an entry needs to know of the fleet. */
 export type RouteView = Pick<
   StoreView,
-  'getAssignment' | 'getSession' | 'getLiveSessions' | 'isDraining'
+  | 'getAssignment'
+  | 'getSession'
+  | 'getLiveSessions'
+  | 'isDraining'
+  | 'refreshAssignment'
 >;
 
 interface Budgets {
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -67,6 +67,7 @@
       getSession: host => ({session: createSession(host), version: 1}),
       getLiveSessions: () => [createSession('b'), createSession('c')],
       isDraining: () => false,
+      refreshAssignment: () => Promise.resolve(),
     },
     {handle: () => Promise.resolve(this.recordAttempt('local'))},
     {
