Move slices of a lost server only once its grants have lapsed

A backend server that froze, was given up after 3 s of silence, and thawed could still find in its socket a grant with a lease end in the future and a request under a token that it held, and run it after its slices had been given to another host. What a server may still do is now known to its daemon (grant_sender.ts): the latest lease end that any grant named. The slices of a lost server are released only when that has passed by the monotonic clock which both share; another server on the host gets no grant before then. A server is lost after 3 s of silence, after 1.5 s if it leaves grants unanswered for 1 s as well, and at once when it refuses connections. It is sent requests only while it has an acknowledged grant in force, whose end the requests carry.

- A planned move asks the server to acknowledge a grant without the released slices before they are given away, so that a request whose connection was dropped cannot start there afterwards.
- Grants name when they were issued; a server refuses one that was overtaken, and a renewal of slices that were never listed.
A server that was restarted within 3 s used to get renewals without its slices and refused everything until the next generation.
- A release hands back what waits for a slot (not-run, DD3005), and returns the idle slices without waiting for those on which a request runs.
Requests that need no slice no longer count for the slice at position 0, which they used to keep busy for good.
- The coordinator asks for releases without waiting for the answers, so that a slow owner holds up neither a takeover nor other moves, and no longer sleeps over a change that comes while it decides.
- A server that is leaving, or whose host drains, gets no new work after 3 s by the decision of its own daemon, also when the store is out; what still waits for it is refused as not run.
- Servers that check no tokens: a new owner lets maxRunMs pass after a takeover before it serves a slice, and a request whose answer was lost counts as running for maxRunMs.

Real processes under load, judged by the servers' records: SIGKILL of a host, of a daemon, of a server, SIGSTOP and SIGCONT of a daemon and of a server, a host killed while the store is out, SIGTERM of a daemon and of a server.

--- a/packages/bench/src/slope_main.ts
+++ b/packages/bench/src/slope_main.ts
@@ -182,6 +182,8 @@
     const sequence =
       datagram.body.case === 'heartbeat' ? datagram.body.value.sequence : 0n;
     witness.sendAnswer(from, {
+      host: 'host-0002',
+      incarnation: 'abcdefgh0002',
       witnessHost: 'host-0001',
       witnessIncarnation: 'abcdefgh0001',
       sequence: Number(sequence),
--- /dev/null
+++ b/packages/bench/test/ownership.process.test.ts
@@ -0,0 +1,172 @@
+/**
+ * Losses and moves of owners on real processes, under load, judged by the servers' records.
+ */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import test, {type ExecutionContext} from 'ava';
+
+import {type Deployment, findDeployment} from '../src/deployments.js';
+import {Fleet, type FleetHost} from '../src/fleet.js';
+import {findViolations} from '../src/judge.js';
+import {LoadGenerator} from '../src/load.js';
+
+const REQUESTS_PER_SECOND = 80;
+const KEYS = 200;
+const LOAD_MS = 8_000;
+
+function createSmallDeployment(): Deployment {
+  const full = findDeployment('bocadito');
+  if (full === undefined) throw new Error('The deployment is missing.');
+  const services = full.services.filter(plan => plan.service === 'menu');
+  const traffic = full.traffic.filter(plan => plan.service === 'menu');
+  const {menu} = full.manifest.services;
+  if (menu === undefined) throw new Error('The service is missing.');
+  const rules = {...menu, slicesPerServer: 16};
+  return {...full, services, traffic, manifest: {services: {menu: rules}}};
+}
+
+/** Runs a load while a fault is made and mended; the records must show no broken promise. */
+async function expectPromises(
+  t: ExecutionContext,
+  makeFault: (fleet: Fleet, victim: FleetHost) => Promise<void>,
+): Promise<void> {
+  const deployment = createSmallDeployment();
+  const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-test-'));
+  const fleet = new Fleet({deployment, directory, stragglerShare: 0.02});
+  try {
+    await fleet.start();
+    const victim = fleet.getHost('menu-2');
+    const generator = new LoadGenerator({
+      deployment,
+      targets: fleet.hosts
+        .filter(host => host !== victim)
+        .map(host => fleet.getCallerUrl(host)),
+      requestsPerSecond: REQUESTS_PER_SECOND,
+      durationMs: LOAD_MS,
+      seed: 11,
+      keys: KEYS,
+    });
+    const [results] = await Promise.all([
+      generator.run(),
+      makeFault(fleet, victim),
+    ]);
+    const records = fleet.readRecords();
+    t.deepEqual(findViolations(results, records), []);
+    t.true(results.some(result => result.outcome === 'completed'));
+  } catch (error) {
+    t.log(fleet.getLastWords().join('\n'));
+    throw error;
+  } finally {
+    await fleet.stop();
+    rmSync(directory, {recursive: true, force: true});
+  }
+}
+
+/** Waits until the other hosts own every slice. */
+async function waitForTakeover(fleet: Fleet, victim: FleetHost): Promise<void> {
+  const others = fleet.hosts.filter(host => host !== victim);
+  const slices = fleet.hosts.length * 16;
+  await fleet.waitUntil(async () => {
+    const statuses = await Promise.all(
+      others.map(host => fleet.getStatus(host)),
+    );
+    const owned = statuses.flatMap(status =>
+      status.services.map(service => service.ownedSlices),
+    );
+    return owned.reduce((sum, count) => sum + count, 0) === slices;
+  });
+}
+
+/** Waits until a host owns slices again. */
+async function waitForReturn(fleet: Fleet, victim: FleetHost): Promise<void> {
+  await fleet.waitUntil(async () => {
+    const {services} = await fleet.getStatus(victim);
+    return services.some(service => service.ownedSlices > 0);
+  });
+}
+
+test.serial('a host is killed and comes back', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    await Promise.all([
+      fleet.getDaemon(victim).kill(),
+      fleet.getServer(victim).kill(),
+    ]);
+    await waitForTakeover(fleet, victim);
+    await fleet.startDaemon(victim);
+    await fleet.startServer(victim);
+    await waitForReturn(fleet, victim);
+  });
+});
+
+test.serial('a daemon alone is killed and comes back', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    await fleet.getDaemon(victim).kill();
+    await waitForTakeover(fleet, victim);
+    await fleet.startDaemon(victim);
+    await waitForReturn(fleet, victim);
+  });
+});
+
+test.serial('a server alone is killed and comes back', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    await fleet.getServer(victim).kill();
+    await waitForTakeover(fleet, victim);
+    await fleet.startServer(victim);
+    await waitForReturn(fleet, victim);
+  });
+});
+
+test.serial('a daemon freezes, is taken over and returns', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    fleet.getDaemon(victim).signal('SIGSTOP');
+    await waitForTakeover(fleet, victim);
+    fleet.getDaemon(victim).signal('SIGCONT');
+    await waitForReturn(fleet, victim);
+  });
+});
+
+test.serial('a server freezes, loses its slices and returns', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    fleet.getServer(victim).signal('SIGSTOP');
+    await waitForTakeover(fleet, victim);
+    fleet.getServer(victim).signal('SIGCONT');
+    await waitForReturn(fleet, victim);
+  });
+});
+
+test.serial('a host is killed while the store is out', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    await fleet.setStoreFaults({isOut: true});
+    await Promise.all([
+      fleet.getDaemon(victim).kill(),
+      fleet.getServer(victim).kill(),
+    ]);
+    await fleet.waitUntil(async () => {
+      const others = fleet.hosts.filter(host => host !== victim);
+      const statuses = await Promise.all(
+        others.map(host => fleet.getStatus(host)),
+      );
+      return statuses.every(status => status.isLeaseHeld);
+    });
+    await fleet.setStoreFaults({isOut: false});
+    await waitForTakeover(fleet, victim);
+  });
+});
+
+test.serial('a daemon shuts down while requests are under way', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    fleet.getDaemon(victim).signal('SIGTERM');
+    t.is(await fleet.getDaemon(victim).waitForEnd(), 0);
+    await waitForTakeover(fleet, victim);
+  });
+});
+
+test.serial('a server drains while requests are under way', async t => {
+  await expectPromises(t, async (fleet, victim) => {
+    fleet.getServer(victim).signal('SIGTERM');
+    t.is(await fleet.getServer(victim).waitForEnd(), 0);
+    await waitForTakeover(fleet, victim);
+  });
+});
--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -49,7 +49,12 @@
 export class Coordinator {
   private isStopped = false;
   private readonly firstSeenMs = new Map<ServiceName, number>();
+  /** Moves whose owner has been asked and has not answered. */
+  private readonly releasing = new Set<string>();
+  /** Slices that were released and are not yet taken into an assignment, by move. */
+  private readonly released = new Map<string, readonly SliceRef[]>();
   private wake: () => void = () => {};
+  private hasChanged = false;
 
   constructor(
     private readonly system: System,
@@ -65,13 +70,15 @@
   /** Decides until it is stopped. */
   async run(): Promise<void> {
     this.view.addListener(() => {
+      this.hasChanged = true;
       this.wake();
     });
     while (!this.isStopped) {
+      this.hasChanged = false;
       const isMoving = await this.runOnce();
-      await this.waitForChange(
-        isMoving ? MOVING_INTERVAL_MS : IDLE_INTERVAL_MS,
-      );
+      // A change that came while this daemon was deciding woke nobody.
+      const isDue = isMoving || this.hasChanged;
+      await this.waitForChange(isDue ? MOVING_INTERVAL_MS : IDLE_INTERVAL_MS);
     }
   }
 
@@ -178,7 +185,7 @@
     const eligible = this.getEligible(service);
     if (present === undefined && !this.isFirstPlacementDue(service, eligible))
       return false;
-    const released = await this.collectReleases(service, present);
+    const released = this.collectReleases(service, present);
     const next = planAssignment({
       service,
       writer: this.getSelf(),
@@ -245,15 +252,29 @@
     await this.refreshObject(key);
   }
 
-  private async collectReleases(
+  /** Returns what was released so far, and asks for the rest without waiting for answers. */
+  private collectReleases(
     service: ServiceName,
     present: VersionedAssignment | undefined,
-  ): Promise<readonly SliceRef[]> {
+  ): readonly SliceRef[] {
     const moves = groupMoves(present?.assignment.slices ?? []);
-    const answers = await Promise.all(
-      moves.map(move => this.askForRelease(service, move)),
-    );
-    return answers.flat();
+    for (const move of moves) {
+      const name = formatMove(service, move);
+      if (this.releasing.has(name) || this.released.has(name)) continue;
+      this.releasing.add(name);
+      void this.askForRelease(service, move).then(refs => {
+        this.releasing.delete(name);
+        if (refs.length > 0) this.released.set(name, refs);
+        this.wake();
+      });
+    }
+    return moves.flatMap(move => this.takeReleased(formatMove(service, move)));
+  }
+
+  private takeReleased(name: string): readonly SliceRef[] {
+    const refs = this.released.get(name) ?? [];
+    this.released.delete(name);
+    return refs;
   }
 
   private async askForRelease(
@@ -297,6 +318,11 @@
   readonly refs: readonly SliceRef[];
 }
 
+function formatMove(service: ServiceName, move: Move): string {
+  const {owner, nextOwner} = move;
+  return `${service} ${formatMember(owner)} ${formatMember(nextOwner)}`;
+}
+
 /** Groups the slices on the move by owner and next owner. */
 function groupMoves(slices: readonly Slice[]): readonly Move[] {
   const moves = new Map<string, Move>();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,7 +31,7 @@
 import {addPeerRoutes} from './peer_listener.js';
 import {addRequestRoutes, createListener} from './request_listener.js';
 import {addServerRoutes} from './server_listener.js';
-import {ServerRegistry} from './server_registry.js';
+import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import type {Settings} from './settings.js';
 import {StatusReader} from './status.js';
@@ -46,8 +46,6 @@
 }
 
 const SHUTDOWN_LIMIT_MS = 30_000;
-/** Time after which a leaving daemon takes no new work even if its slices are not moved. */
-const LEAVING_ADMISSION_MS = 3_000;
 const SHUTDOWN_POLL_MS = 20;
 
 /** Creates and starts a daemon; rejects when an address is taken. */
@@ -132,7 +130,10 @@
       system,
       this.keeper,
       (service, slots) => this.createPolicy(service, slots),
-      service => this.owner.getAssignment(service),
+      {
+        getAssignment: service => this.owner.getAssignment(service),
+        getHeldSlices: service => this.owner.getHeldSlices(service),
+      },
       service => this.view.getManifest()?.manifest.services[service],
       this.log.createPart('servers'),
     );
@@ -141,6 +142,7 @@
       system,
       this.view,
       this.owner,
+      this.registry,
       peers,
       this.log.createPart('mover'),
     );
@@ -285,6 +287,7 @@
     for (const {assignment} of this.view.getAssignments())
       this.owner.applyAssignment(assignment);
     this.witnesses.fenceEnded();
+    this.registry.setDraining(this.view.isDraining(this.settings.host));
     this.registry.sendGrants();
   }
 
--- a/packages/daemon/src/mover.ts
+++ b/packages/daemon/src/mover.ts
@@ -1,6 +1,7 @@
 /**
- * The old owner's part of a planned move: stops admission to slices, waits until nothing runs on
- * them, hands their records over, and only then says that they are released.
+ * The old owner's part of a planned move: stops admission to slices, hands back what waits for them,
+ * waits until nothing runs on them, revokes the server's grant, hands their records over, and only
+ * then says that they are released. A slice on which a request runs holds up no other slice.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import {isSameMember} from '@dottereldrift/core/member.js';
@@ -11,6 +12,7 @@
 import {encodeEntry} from './entry_codec.js';
 import type {Owner} from './owner.js';
 import {type PeerClients, PEER_CALL_TIMEOUT_MS} from './peer_client.js';
+import type {ServerRegistry} from './server_registry.js';
 import type {StoreView} from './store_view.js';
 
 const POLL_INTERVAL_MS = 5;
@@ -22,11 +24,12 @@
     private readonly system: System,
     private readonly view: StoreView,
     private readonly owner: Owner,
+    private readonly registry: ServerRegistry,
     private readonly peers: PeerClients,
     private readonly log: Log,
   ) {}
 
-  /** Stops admission and returns the slices that are idle and handed over within a short time. */
+  /** Stops admission and returns the slices that are idle, or the first that become so. */
   async release(
     service: ServiceName,
     owner: Member,
@@ -35,14 +38,12 @@
   ): Promise<readonly SliceRef[]> {
     const endMs = this.system.getNow().monotonicMs + MAX_WAIT_MS;
     let idle = this.owner.releaseSlices(service, owner, refs);
-    while (
-      idle.length < refs.length &&
-      this.system.getNow().monotonicMs < endMs
-    ) {
+    while (idle.length === 0 && this.system.getNow().monotonicMs < endMs) {
       await waitFor(this.system, POLL_INTERVAL_MS);
       idle = this.owner.releaseSlices(service, owner, refs);
     }
     if (idle.length === 0) return [];
+    if (!(await this.registry.tryRevoke(service))) return [];
     return (await this.tryHandOver(service, nextOwner, idle)) ? idle : [];
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -19,6 +19,7 @@
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import {SliceGate} from '@dottereldrift/ownership/slice_gate.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
+import {TakeoverWait} from '@dottereldrift/ownership/takeover_wait.js';
 import type {
   Assignment,
   Slice,
@@ -50,6 +51,7 @@
 interface ServiceState {
   gate: SliceGate;
   window: IdempotencyWindow;
+  wait: TakeoverWait;
 }
 
 /** A request that has passed the checks. */
@@ -77,7 +79,16 @@
 
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
-    this.getState(assignment.service).gate.applyAssignment(assignment);
+    const {gate, wait} = this.getState(assignment.service);
+    gate.applyAssignment(assignment);
+    const nowMs = this.system.getNow().monotonicMs;
+    const inForce = gate.getAssignment() ?? assignment;
+    wait.applyAssignment(inForce, this.keeper.getMember(), nowMs);
+  }
+
+  /** Returns the slices that this daemon owns and has not released. */
+  getHeldSlices(service: ServiceName): readonly Slice[] {
+    return this.services.get(service)?.gate.getHeldSlices() ?? [];
   }
 
   getAssignment(service: ServiceName): Assignment | undefined {
@@ -112,7 +123,20 @@
     refs: readonly SliceRef[],
   ): readonly SliceRef[] {
     if (owner.incarnation !== this.keeper.getMember().incarnation) return [];
-    return this.getState(service).gate.releaseSlices(refs);
+    const {gate} = this.getState(service);
+    const slices = gate.getAssignment()?.slices ?? [];
+    return gate.releaseSlices(refs).filter(ref => {
+      const slice = findSlice(slices, ref.start);
+      return slice !== undefined && this.isWaitOver(service, slice);
+    });
+  }
+
+  /** Tells whether a slice that was taken over may be served by a server that checks no tokens. */
+  private isWaitOver(service: ServiceName, slice: Slice): boolean {
+    const rules = this.registry.getRules(service);
+    if (rules === undefined || rules.fencing === 'checked') return true;
+    const nowMs = this.system.getNow().monotonicMs;
+    return this.getState(service).wait.isOver(slice, rules.maxRunMs, nowMs);
   }
 
   /** Returns the entries of slices, to be handed over. */
@@ -144,11 +168,16 @@
     const checked = this.checkAdmission(exchange);
     if ('outcome' in checked) return {kind: 'failed', failure: checked};
     this.running += 1;
-    const endGate = checked.state.gate.startRequest(checked.position);
+    const endGate = startInGate(checked);
     try {
-      return await this.runOnce(checked);
+      const result = await this.runOnce(checked);
+      if (mayStillRun(exchange, result)) {
+        this.system.startTimer(exchange.rules.maxRunMs, endGate);
+      } else {
+        endGate();
+      }
+      return result;
     } finally {
-      endGate();
       this.running -= 1;
     }
   }
@@ -158,7 +187,7 @@
     if (this.isClosing) return refuse('DD3021', SHORT_RETRY_MS);
     if (!this.keeper.isHeld()) return refuse('DD3016', SHORT_RETRY_MS);
     const server = this.registry.getServer(service);
-    if (server === undefined)
+    if (server === undefined || this.registry.isClosed(service))
       return refuse('DD3024', SHORT_RETRY_MS, {service});
     const state = this.getState(service);
     const position = getPosition(exchange);
@@ -170,7 +199,8 @@
     }
     if (
       answer.kind === 'moving' ||
-      !this.registry.isGranted(service, answer.slice)
+      !this.registry.isGranted(service, answer.slice) ||
+      !this.isWaitOver(service, answer.slice)
     ) {
       return refuse('DD3005', SHORT_RETRY_MS);
     }
@@ -200,9 +230,15 @@
     return new Promise(resolve => {
       let withdraw = () => {};
       const leave = () => {
+        forget();
         withdraw();
         resolve(fail(refuse('DD3022', 0)));
       };
+      const forget = addToGate(admitted, () => {
+        exchange.abandonment.removeListener(leave);
+        withdraw();
+        resolve(fail(refuse('DD3005', SHORT_RETRY_MS)));
+      });
       exchange.abandonment.addListener(leave);
       withdraw = server.policy.requestSlot({
         kind: exchange.kind.name,
@@ -215,6 +251,7 @@
             ? exchange.body.bytes.byteLength
             : 0,
         onRun: finish => {
+          forget();
           exchange.abandonment.removeListener(leave);
           void this.sendToServer(admitted).then(result => {
             finish(result.kind === 'answered');
@@ -222,6 +259,7 @@
           });
         },
         onRefuse: refusal => {
+          forget();
           exchange.abandonment.removeListener(leave);
           resolve(fail(createRefusal(exchange, refusal)));
         },
@@ -231,7 +269,10 @@
 
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server, slice} = admitted;
+    const {service} = exchange.target;
     if (!this.keeper.isHeld()) return fail(refuse('DD3016', SHORT_RETRY_MS));
+    if (slice !== undefined && !this.registry.isGranted(service, slice))
+      return fail(refuse('DD3005', SHORT_RETRY_MS));
     const nowMs = this.system.getNow().monotonicMs;
     const isKept =
       exchange.idempotencyKey !== undefined && !exchange.kind.idempotent;
@@ -245,7 +286,7 @@
         [REMAINING_HEADER]: String(
           Math.max(0, Math.round(exchange.deadlineAtMs - nowMs)),
         ),
-        ...this.createFencingHeaders(slice),
+        ...this.createFencingHeaders(service, slice),
       },
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs,
@@ -261,9 +302,10 @@
   }
 
   private createFencingHeaders(
+    service: ServiceName,
     slice: Slice | undefined,
   ): Record<string, string> {
-    const end = this.keeper.getEnd();
+    const end = this.registry.getGrantEnd(service, slice);
     const lease = {
       [LEASE_END_HEADER]: String(Math.floor(end.wallMs)),
       [LEASE_END_MONOTONIC_HEADER]: String(Math.floor(end.monotonicMs)),
@@ -286,6 +328,7 @@
         maxBytes: this.limits.idempotencyBytes,
         retentionMs: this.limits.idempotencyRetentionMs,
       }),
+      wait: new TakeoverWait(),
     };
     this.services.set(service, state);
     return state;
@@ -319,6 +362,28 @@
   return firstGeneration !== undefined && firstGeneration < slice.recordsSince;
 }
 
+/** Counts a request that needs a slice; the returned function ends it. */
+function startInGate(admitted: Admitted): () => void {
+  const {slice, position, state} = admitted;
+  return slice === undefined ? () => {} : state.gate.startRequest(position);
+}
+
+/** Lets a release hand a waiting request back; the returned function forgets it. */
+function addToGate(admitted: Admitted, handBack: () => void): () => void {
+  const {slice, position, state} = admitted;
+  return slice === undefined
+    ? () => {}
+    : state.gate.addWaiting(position, handBack);
+}
+
+/** Tells whether a server that checks no tokens may go on with a request whose answer was lost. */
+function mayStillRun(exchange: Exchange, result: AttemptResult): boolean {
+  if (exchange.rules.fencing === 'checked') return false;
+  return result.kind === 'answered'
+    ? result.isCut
+    : result.failure.outcome === 'unknown';
+}
+
 function answerRepeat(exchange: Exchange, state: EntryState): AttemptResult {
   if (state.kind === 'running') {
     return fail({...refuse('DD3020', REPEAT_RETRY_MS), outcome: 'unknown'});
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -7,23 +7,25 @@
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatUrl} from '@dottereldrift/core/member.js';
 import type {System} from '@dottereldrift/core/system.js';
-import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {Instant, ServiceName} from '@dottereldrift/core/types.js';
 import type {SlotPolicy} from '@dottereldrift/limits/types.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
-import {getOwnedSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment, Slice} from '@dottereldrift/ownership/types.js';
 import type {ServiceRules} from '@dottereldrift/manifest/types.js';
 
+import {GrantSender, type GrantSource} from './grant_sender.js';
 import type {SessionKeeper} from './session_keeper.js';
 
 /** Silence after which a server that announced itself is taken for lost. */
 export const SERVER_SILENCE_MS = 3_000;
+/** Silence after which it is taken for lost if it leaves grants unanswered as well. */
+const SHORT_SILENCE_MS = 1_500;
+const UNANSWERED_LIMIT_MS = 1_000;
+/** Time after which a leaving server gets no new work even if its slices have not moved. */
+export const LEAVING_ADMISSION_MS = 3_000;
 
-const CHECK_INTERVAL_MS = 250;
-const GRANT_TIMEOUT_MS = 1_000;
+const CHECK_INTERVAL_MS = 100;
 const CONNECT_TIMEOUT_MS = 500;
-/** Path at which a server takes grants, followed by the service. */
-export const GRANT_PATH = '/dottereldrift/grants/';
 
 /** A server on this host. */
 export interface LocalServer {
@@ -34,13 +36,15 @@
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
+  /** When the server or its host began to leave; undefined while it stays. */
+  readonly leavingSinceMs: number | undefined;
 }
 
-interface GrantState {
-  /** Highest generation that the server has acknowledged. */
-  acknowledged: number;
-  isSending: boolean;
-  isStale: boolean;
+/** What the registry asks of the assignments in force here. */
+export interface OwnedSlices {
+  getAssignment(service: ServiceName): Assignment | undefined;
+  /** Returns the slices that this daemon owns and has not released. */
+  getHeldSlices(service: ServiceName): readonly Slice[];
 }
 
 /** Creates the policy that gives the slots of a server. */
@@ -49,19 +53,19 @@
 /** Keeps the servers of this host. */
 export class ServerRegistry {
   private readonly entries = new Map<ServiceName, Entry>();
-  private readonly grants = new Map<ServiceName, GrantState>();
+  private readonly senders = new Map<ServiceName, GrantSender>();
+  /** Services whose lost server may still hold a grant, so that another gets none yet. */
+  private readonly heldBack = new Set<ServiceName>();
+  private drainingSinceMs: number | undefined;
   private isStopped = false;
 
   constructor(
     private readonly system: System,
     private readonly keeper: SessionKeeper,
     private readonly createPolicy: PolicyFactory,
-    private readonly getAssignment: (
-      service: ServiceName,
-    ) => Assignment | undefined,
-    private readonly getRules: (
-      service: ServiceName,
-    ) => ServiceRules | undefined,
+    private readonly owned: OwnedSlices,
+    /** Returns the rules of a service; undefined when none are in force. */
+    readonly getRules: (service: ServiceName) => ServiceRules | undefined,
     private readonly log: Log,
   ) {}
 
@@ -70,16 +74,21 @@
     const present = this.entries.get(info.service);
     const lastSeenMs = this.system.getNow().monotonicMs;
     if (present !== undefined && isSameAddress(present.info, info)) {
-      this.entries.set(info.service, {...present, info, lastSeenMs});
+      const leavingSinceMs = info.isLeaving
+        ? (present.leavingSinceMs ?? lastSeenMs)
+        : undefined;
+      const entry = {...present, info, lastSeenMs, leavingSinceMs};
+      this.entries.set(info.service, entry);
       present.policy.setSlots(info.slots);
       if (!isSameInfo(present.info, info)) this.publishServers();
       return;
     }
     if (present !== undefined)
-      this.removeEntry(info.service, 'another one took its place');
+      this.endLostServer(info.service, 'another one took its place');
     this.entries.set(info.service, {
       info,
       lastSeenMs,
+      leavingSinceMs: info.isLeaving ? lastSeenMs : undefined,
       pool: createServerPool(info),
       policy: this.createPolicy(info.service, info.slots),
     });
@@ -94,15 +103,35 @@
   startLeaving(service: ServiceName): boolean {
     const present = this.entries.get(service);
     if (present === undefined) return false;
+    const nowMs = this.system.getNow().monotonicMs;
     this.entries.set(service, {
       ...present,
       info: {...present.info, isLeaving: true},
+      leavingSinceMs: present.leavingSinceMs ?? nowMs,
     });
     this.publishServers();
     return true;
   }
 
-  /** Takes note that a server is gone. */
+  /** Takes note whether operators drain this host. */
+  setDraining(isDraining: boolean): void {
+    const nowMs = this.system.getNow().monotonicMs;
+    this.drainingSinceMs = isDraining
+      ? (this.drainingSinceMs ?? nowMs)
+      : undefined;
+  }
+
+  /** Tells whether a server has been leaving for so long that it gets no new work. */
+  isClosed(service: ServiceName): boolean {
+    const since = this.entries.get(service)?.leavingSinceMs;
+    const firstMs = Math.min(
+      since ?? Infinity,
+      this.drainingSinceMs ?? Infinity,
+    );
+    return this.system.getNow().monotonicMs - firstMs >= LEAVING_ADMISSION_MS;
+  }
+
+  /** Takes note that a server is gone, by its own word: it runs nothing any more. */
   removeServer(service: ServiceName): void {
     this.removeEntry(service, 'it left');
     this.publishServers();
@@ -118,20 +147,44 @@
 
   /** Tells whether a slice may be served: its server has acknowledged the grant. */
   isGranted(service: ServiceName, slice: Slice): boolean {
-    if (this.getRules(service)?.fencing !== 'checked') return true;
-    return (this.grants.get(service)?.acknowledged ?? 0) >= slice.token;
+    if (!this.isChecking(service)) return true;
+    return this.getSender(service).isGranted(slice);
+  }
+
+  /** Returns until when a server may start a request that it is sent now. */
+  getGrantEnd(service: ServiceName, slice: Slice | undefined): Instant {
+    return slice !== undefined && this.isChecking(service)
+      ? this.getSender(service).getAcknowledgedEnd()
+      : this.keeper.getEnd();
+  }
+
+  /**
+   * Makes sure that no server of this host can start a request of a slice that was released: the
+   * server has acknowledged a grant without it, or every grant has lapsed.
+   */
+  async tryRevoke(service: ServiceName): Promise<boolean> {
+    if (!this.isChecking(service)) return true;
+    const sender = this.getSender(service);
+    if (sender.hasLapsed()) return true;
+    const entry = this.entries.get(service);
+    if (entry === undefined) return !this.heldBack.has(service);
+    if (this.isHeldBack(service)) return false;
+    return sender.tryConfirm(entry.pool);
   }
 
   /** Sends every server its slices and the end of the lease. */
   sendGrants(): void {
-    for (const service of this.entries.keys()) void this.sendGrant(service);
+    for (const [service, entry] of this.entries) {
+      if (this.isChecking(service) && !this.isHeldBack(service))
+        void this.getSender(service).send(entry.pool);
+    }
   }
 
   /** Looks for lost servers until it is stopped. */
   start(): void {
     const check = () => {
       if (this.isStopped) return;
-      this.checkSilence();
+      this.checkServers();
       this.system.startTimer(CHECK_INTERVAL_MS, check);
     };
     check();
@@ -144,22 +197,36 @@
     );
   }
 
-  private checkSilence(): void {
-    const nowMs = this.system.getNow().monotonicMs;
+  private checkServers(): void {
     for (const [service, entry] of this.entries) {
-      if (nowMs - entry.lastSeenMs > SERVER_SILENCE_MS) {
-        this.removeEntry(service, 'it is silent');
+      if (this.isSilent(entry)) {
+        this.endLostServer(service, 'it is silent');
         this.publishServers();
+      } else if (this.isClosed(service)) {
+        entry.policy.refuseAll('DD3024');
       }
     }
   }
 
+  private isSilent(entry: Entry): boolean {
+    const silenceMs = this.system.getNow().monotonicMs - entry.lastSeenMs;
+    if (silenceMs > SERVER_SILENCE_MS) return true;
+    const unansweredMs = this.getSender(entry.info.service).getUnansweredMs();
+    return silenceMs > SHORT_SILENCE_MS && unansweredMs > UNANSWERED_LIMIT_MS;
+  }
+
+  /** Lets go of a server that may still run what it was sent until its grants lapse. */
+  private endLostServer(service: ServiceName, reason: string): void {
+    this.heldBack.add(service);
+    this.removeEntry(service, reason);
+  }
+
   private removeEntry(service: ServiceName, reason: string): void {
     const entry = this.entries.get(service);
     if (entry === undefined) return;
     this.log.writeWarning('A backend server is gone.', {service, reason});
     this.entries.delete(service);
-    this.grants.delete(service);
+    this.getSender(service).reset();
     entry.policy.refuseAll('DD3024');
     void entry.pool.destroy();
   }
@@ -168,64 +235,33 @@
     this.keeper.setServers([...this.entries.values()].map(entry => entry.info));
   }
 
-  private async sendGrant(service: ServiceName): Promise<void> {
-    const state = this.getGrantState(service);
-    if (state.isSending) {
-      state.isStale = true;
-      return;
-    }
-    state.isSending = true;
-    do {
-      state.isStale = false;
-      await this.tryGrant(service, state);
-    } while (state.isStale && this.entries.has(service));
-    state.isSending = false;
-  }
-
-  private async tryGrant(
-    service: ServiceName,
-    state: GrantState,
-  ): Promise<void> {
-    const entry = this.entries.get(service);
-    const assignment = this.getAssignment(service);
-    if (entry === undefined || assignment === undefined) return;
-    const slices = getOwnedSlices(assignment.slices, this.keeper.getMember());
-    const end = this.keeper.getEnd();
-    const isRenewal = state.acknowledged === assignment.generation;
-    const grant = {
-      generation: assignment.generation,
-      leaseEndUnixMs: end.wallMs,
-      leaseEndMonotonicMs: end.monotonicMs,
-      ...(isRenewal
-        ? {}
-        : {slices: slices.map(slice => [slice.start, slice.token])}),
-    };
-    try {
-      const answer = await entry.pool.request({
-        method: 'PUT',
-        path: `${GRANT_PATH}${service}`,
-        headers: {'content-type': 'application/json'},
-        body: JSON.stringify(grant),
-        signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
-      });
-      await answer.body.dump();
-      if (answer.statusCode < 300) state.acknowledged = assignment.generation;
-      else state.acknowledged = 0;
-    } catch (error) {
-      state.acknowledged = 0;
-      this.log.writeDebug('A grant was not taken.', {
-        service,
-        reason: String(error),
-      });
-    }
+  private isChecking(service: ServiceName): boolean {
+    return this.getRules(service)?.fencing === 'checked';
   }
 
-  private getGrantState(service: ServiceName): GrantState {
-    const present = this.grants.get(service);
+  private isHeldBack(service: ServiceName): boolean {
+    if (this.heldBack.has(service) && this.getSender(service).hasLapsed())
+      this.heldBack.delete(service);
+    return this.heldBack.has(service);
+  }
+
+  private getSender(service: ServiceName): GrantSender {
+    const present = this.senders.get(service);
     if (present !== undefined) return present;
-    const state = {acknowledged: 0, isSending: false, isStale: false};
-    this.grants.set(service, state);
-    return state;
+    const source: GrantSource = {
+      getGeneration: () => this.owned.getAssignment(service)?.generation ?? 0,
+      getSlices: () => this.owned.getHeldSlices(service),
+      getLeaseEnd: () => this.keeper.getEnd(),
+    };
+    const onRefused = () => {
+      if (!this.entries.has(service)) return;
+      this.endLostServer(service, 'it refuses connections');
+      this.publishServers();
+    };
+    const {system, log} = this;
+    const sender = new GrantSender(service, system, source, onRefused, log);
+    this.senders.set(service, sender);
+    return sender;
   }
 }
 
--- a/packages/ownership/src/slice_gate.ts
+++ b/packages/ownership/src/slice_gate.ts
@@ -5,7 +5,7 @@
 import {isSameMember} from '@dottereldrift/core/member.js';
 import type {Member} from '@dottereldrift/core/types.js';
 
-import {findSlice} from './slices.js';
+import {findSlice, getOwnedSlices} from './slices.js';
 import type {Assignment, Slice, SliceRef} from './types.js';
 
 /** Answer of the gate for one position. */
@@ -21,6 +21,8 @@
   private readonly releasedTokens = new Map<number, number>();
   /** Requests running, by the position of their slice's start when they were admitted. */
   private readonly running = new Map<number, number>();
+  /** Requests that wait for a slot: what hands them back, with their positions. */
+  private readonly waiting = new Map<() => void, number>();
 
   constructor(private readonly member: Member) {}
 
@@ -61,23 +63,58 @@
     };
   }
 
-  /** Stops admission to slices for good under their tokens. Returns those on which nothing runs. */
+  /**
+   * Keeps what hands a request back that waits for a slot. The returned function forgets it, when
+   * the request runs or no longer waits.
+   */
+  addWaiting(position: number, handBack: () => void): () => void {
+    this.waiting.set(handBack, position);
+    return () => {
+      this.waiting.delete(handBack);
+    };
+  }
+
+  /**
+   * Stops admission to slices for good under their tokens, and hands back what waits for them.
+   * Returns those on which nothing runs.
+   */
   releaseSlices(refs: readonly SliceRef[]): readonly SliceRef[] {
     for (const ref of refs) {
       const released = this.releasedTokens.get(ref.start) ?? 0;
       this.releasedTokens.set(ref.start, Math.max(released, ref.token));
     }
+    this.withdrawWaiting(refs);
     return refs.filter(ref => !this.isBusy(ref));
   }
 
+  /** Returns the slices that this member owns and has not released. */
+  getHeldSlices(): readonly Slice[] {
+    const slices = this.assignment?.slices ?? [];
+    return getOwnedSlices(slices, this.member).filter(
+      slice => !this.isReleased(slice),
+    );
+  }
+
+  private withdrawWaiting(refs: readonly SliceRef[]): void {
+    const starts = new Set(refs.map(ref => ref.start));
+    for (const [handBack, position] of [...this.waiting]) {
+      if (!starts.has(this.findStart(position))) continue;
+      this.waiting.delete(handBack);
+      handBack();
+    }
+  }
+
+  private findStart(position: number): number {
+    return findSlice(this.assignment?.slices ?? [], position)?.start ?? -1;
+  }
+
   private isReleased(slice: Slice): boolean {
     return (this.releasedTokens.get(slice.start) ?? 0) >= slice.token;
   }
 
   private isBusy(ref: SliceRef): boolean {
-    const slices = this.assignment?.slices ?? [];
     for (const position of this.running.keys()) {
-      if (findSlice(slices, position)?.start === ref.start) return true;
+      if (this.findStart(position) === ref.start) return true;
     }
     return false;
   }
--- a/packages/standins/src/backend_server.ts
+++ b/packages/standins/src/backend_server.ts
@@ -56,6 +56,7 @@
 
 interface GrantBody {
   readonly generation: number;
+  readonly issuedAtMonotonicMs: number;
   readonly leaseEndUnixMs: number;
   readonly leaseEndMonotonicMs: number;
   readonly slices?: ReadonlyArray<readonly [number, number]>;
@@ -78,6 +79,7 @@
   private readonly records: RunRecord[] = [];
   private readonly granted = new Map<number, number>();
   private generation = 0;
+  private grantIssuedAtMs = 0;
   private leaseEndUnixMs = 0;
   private leaseEndMonotonicMs = 0;
   private running = 0;
@@ -131,21 +133,27 @@
 
   private addRoutes(): void {
     this.app.put('/dottereldrift/grants/:service', (request, reply) => {
-      this.takeGrant(JSON.parse(String(request.body)) as GrantBody);
-      return reply.code(204).send();
+      const grant = JSON.parse(String(request.body)) as GrantBody;
+      return reply.code(this.tryTakeGrant(grant) ? 204 : 409).send();
     });
     this.app.get('/dottereldrift/records', () => this.records);
     this.app.all('/*', (request, reply) => this.serveRequest(request, reply));
   }
 
-  private takeGrant(grant: GrantBody): void {
-    if (grant.generation < this.generation) return;
+  /** Refuses a grant that was overtaken, and one that renews slices which were never listed. */
+  private tryTakeGrant(grant: GrantBody): boolean {
+    if (grant.generation < this.generation) return false;
+    if (grant.issuedAtMonotonicMs < this.grantIssuedAtMs) return false;
+    const isRenewal = grant.slices === undefined;
+    if (isRenewal && grant.generation !== this.generation) return false;
     this.generation = grant.generation;
+    this.grantIssuedAtMs = grant.issuedAtMonotonicMs;
     this.leaseEndUnixMs = grant.leaseEndUnixMs;
     this.leaseEndMonotonicMs = grant.leaseEndMonotonicMs;
-    if (grant.slices === undefined) return;
+    if (grant.slices === undefined) return true;
     this.granted.clear();
     for (const [start, token] of grant.slices) this.granted.set(start, token);
+    return true;
   }
 
   private async serveRequest(
