--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
   type System,
   waitFor,
 } from '@dottereldrift/core/system.js';
-import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
@@ -24,6 +24,7 @@
 import type {AttemptResult, Exchange} from './exchange.js';
 import {ExchangeFactory} from './exchange_factory.js';
 import {Forwarder} from './forwarder.js';
+import {GaugeReporter} from './gauge_reporter.js';
 import {Mover} from './mover.js';
 import {addOperatorRoutes} from './operator_listener.js';
 import {Owner} from './owner.js';
@@ -71,6 +72,8 @@
   private readonly entry: Entry;
   private readonly coordinator: Coordinator;
   private readonly report: BurnReport;
+  private readonly status: StatusReader;
+  private readonly gauges: GaugeReporter;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
 
@@ -155,6 +158,14 @@
       settings.host,
     );
     this.report = new BurnReport(system);
+    this.status = new StatusReader(
+      system,
+      this.view,
+      this.keeper,
+      this.registry,
+      this.owner,
+    );
+    this.gauges = new GaugeReporter(system, this.metrics, this.status);
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -184,6 +195,7 @@
     });
     this.witnesses.start();
     this.registry.start();
+    this.gauges.start();
     this.running = [this.view.run(), this.keeper.run(), this.coordinator.run()];
     this.log.writeInfo('The daemon has started.', {host: this.settings.host});
   }
@@ -198,6 +210,7 @@
       SHUTDOWN_LIMIT_MS,
     );
     this.coordinator.stop();
+    this.gauges.stop();
     this.witnesses.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
     await this.keeper.stop();
@@ -239,13 +252,7 @@
     addServerRoutes(servers, settings.serverAddress.ip, this.registry);
     const operators = createListener(limits);
     addJsonParser(operators);
-    const status = new StatusReader(
-      this.system,
-      this.view,
-      this.keeper,
-      this.registry,
-      this.owner,
-    );
+    const {status} = this;
     const {store, view, takeover, report} = this;
     addOperatorRoutes(operators, settings.operatorKey, {
       store,
@@ -312,7 +319,9 @@
   private createPolicy(service: string, slots: number) {
     const maxQueued =
       this.view.getManifest()?.manifest.services[service]?.maxQueued ?? 1;
-    return new FifoPolicy(this.system, slots, maxQueued);
+    const {slotPolicy, queuedBytes} = this.settings.limits;
+    const bounds = {maxQueued, maxQueuedBytes: queuedBytes};
+    return createSlotPolicy(slotPolicy, this.system, slots, bounds);
   }
 
   private observe(exchange: Exchange, result: AttemptResult): void {
--- a/packages/ownership/src/slice_gate.ts
+++ b/packages/ownership/src/slice_gate.ts
@@ -76,9 +76,12 @@
 
   /**
    * Stops admission to slices for good under their tokens, and hands back what waits for them.
-   * Returns those on which nothing runs.
+   * Returns those on which nothing runs. A slice that this member does not know with the same start
+   * and token is not released: it was cut or merged since, and requests to its positions are still
+   * admitted under another start.
    */
-  releaseSlices(refs: readonly SliceRef[]): readonly SliceRef[] {
+  releaseSlices(asked: readonly SliceRef[]): readonly SliceRef[] {
+    const refs = asked.filter(ref => this.isKnown(ref));
     for (const ref of refs) {
       const released = this.releasedTokens.get(ref.start) ?? 0;
       this.releasedTokens.set(ref.start, Math.max(released, ref.token));
@@ -108,6 +111,11 @@
     return findSlice(this.assignment?.slices ?? [], position)?.start ?? -1;
   }
 
+  private isKnown(ref: SliceRef): boolean {
+    const slice = findSlice(this.assignment?.slices ?? [], ref.start);
+    return slice?.start === ref.start && slice.token === ref.token;
+  }
+
   private isReleased(slice: Slice): boolean {
     return (this.releasedTokens.get(slice.start) ?? 0) >= slice.token;
   }
@@ -122,7 +130,7 @@
   private dropOldReleases(assignment: Assignment): void {
     for (const [start, token] of this.releasedTokens) {
       const slice = findSlice(assignment.slices, start);
-      if (slice !== undefined && slice.start === start && slice.token > token) {
+      if (slice !== undefined && slice.token > token) {
         this.releasedTokens.delete(start);
       }
     }
