--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -38,6 +38,8 @@
   /** Directory for settings and records. */
   readonly directory: string;
   readonly stragglerShare: number;
+  /** Whether the servers check fencing tokens; true when absent. */
+  readonly isFencing?: boolean;
   /** Program of the servers, called with service, IP number, port and daemon URL. */
   readonly serverMain?: string;
 }
@@ -308,7 +310,7 @@
         serviceMs: plan.serviceMs,
         stragglerShare: options.stragglerShare,
         stragglerFactor: 50,
-        isFencing: true,
+        isFencing: options.isFencing ?? true,
         coldMs: 0,
         recordsPath,
       },
--- a/packages/bench/test/ownership.process.test.ts
+++ b/packages/bench/test/ownership.process.test.ts
@@ -8,6 +8,8 @@
 import test, {type ExecutionContext} from 'ava';
 
 import {type Deployment, findDeployment} from '../src/deployments.js';
+import type {RunRecord} from '@dottereldrift/standins/backend_server.js';
+
 import {Fleet, type FleetHost} from '../src/fleet.js';
 import {findViolations} from '../src/judge.js';
 import {LoadGenerator} from '../src/load.js';
@@ -64,6 +66,32 @@
   }
 }
 
+/** Kills the daemon of a host once its server has run requests of several keys. */
+async function killAfterRuns(fleet: Fleet, victim: FleetHost): Promise<void> {
+  await fleet.waitUntil(() => {
+    const records = fleet.readRecords();
+    const runs = records.filter(record => record.host === victim.name);
+    return Promise.resolve(runs.length >= 20);
+  });
+  await fleet.getDaemon(victim).kill();
+}
+
+/** Returns, for each key that a lost host ran last, the time until another host ran it. */
+function listTakeoverGaps(
+  records: readonly RunRecord[],
+  victim: FleetHost,
+): readonly number[] {
+  const last = new Map<string, RunRecord>();
+  const gaps: number[] = [];
+  for (const record of records) {
+    const previous = last.get(record.key);
+    if (previous?.host === victim.name && record.host !== victim.name)
+      gaps.push(record.startedAtMs - previous.startedAtMs);
+    last.set(record.key, record);
+  }
+  return gaps;
+}
+
 /** Waits until the other hosts own every slice. */
 async function waitForTakeover(fleet: Fleet, victim: FleetHost): Promise<void> {
   const others = fleet.hosts.filter(host => host !== victim);
@@ -170,3 +198,47 @@
     await waitForTakeover(fleet, victim);
   });
 });
+
+test.serial(
+  'where servers check no tokens, a new owner lets the longest request end first',
+  async t => {
+    const deployment = createSmallDeployment();
+    const {menu} = deployment.manifest.services;
+    if (menu === undefined) throw new Error('The service is missing.');
+    const maxRunMs = 3_000;
+    const rules = {...menu, fencing: 'none' as const, maxRunMs};
+    const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-test-'));
+    const fleet = new Fleet({
+      deployment: {...deployment, manifest: {services: {menu: rules}}},
+      directory,
+      stragglerShare: 0,
+      isFencing: false,
+    });
+    try {
+      await fleet.start();
+      const victim = fleet.getHost('menu-2');
+      const generator = new LoadGenerator({
+        deployment,
+        targets: fleet.hosts
+          .filter(host => host !== victim)
+          .map(host => fleet.getCallerUrl(host)),
+        requestsPerSecond: REQUESTS_PER_SECOND,
+        durationMs: LOAD_MS + maxRunMs,
+        seed: 12,
+        keys: KEYS,
+      });
+      const [results] = await Promise.all([
+        generator.run(),
+        killAfterRuns(fleet, victim),
+      ]);
+      const records = fleet.readRecords();
+      t.deepEqual(findViolations(results, records), []);
+      const gaps = listTakeoverGaps(records, victim);
+      t.true(gaps.length > 0);
+      t.true(gaps.every(gapMs => gapMs >= maxRunMs));
+    } finally {
+      await fleet.stop();
+      rmSync(directory, {recursive: true, force: true});
+    }
+  },
+);
--- /dev/null
+++ b/packages/daemon/test/grant_sender.test.ts
@@ -0,0 +1,146 @@
+/**
+ * Tests of what a daemon knows of the grants that it sent to a backend server.
+ */
+import test from 'ava';
+import {MockAgent} from 'undici';
+
+import {createLog} from '@dottereldrift/core/log.js';
+import type {Cancel, System} from '@dottereldrift/core/system.js';
+import type {Slice} from '@dottereldrift/ownership/types.js';
+
+import {GRANT_PATH, GrantSender} from '../src/grant_sender.js';
+
+const SERVICE = 'menu';
+const ORIGIN = 'http://127.0.0.1:1';
+const LEASE_MS = 1_900;
+const SLICE: Slice = {
+  start: 0,
+  owner: {host: 'h1', incarnation: 'a'},
+  token: 3,
+  nextOwner: undefined,
+  recordsSince: 0,
+};
+
+class FakeSystem implements System {
+  nowMs = 10_000;
+
+  getNow() {
+    return {monotonicMs: this.nowMs, wallMs: 1_000_000 + this.nowMs};
+  }
+
+  startTimer(): Cancel {
+    return () => {};
+  }
+
+  getRandom(): number {
+    return 0;
+  }
+
+  createId(): string {
+    return 'id';
+  }
+}
+
+class Bench {
+  readonly system = new FakeSystem();
+  readonly bodies: Array<{readonly slices?: unknown}> = [];
+  readonly pool;
+  slices: readonly Slice[] = [SLICE];
+  refusals = 0;
+  readonly sender: GrantSender;
+  private readonly agent = new MockAgent();
+
+  constructor() {
+    this.agent.disableNetConnect();
+    this.pool = this.agent.get(ORIGIN);
+    this.sender = new GrantSender(
+      SERVICE,
+      this.system,
+      {
+        getGeneration: () => 3,
+        getSlices: () => this.slices,
+        getLeaseEnd: () => ({
+          monotonicMs: this.system.nowMs + LEASE_MS,
+          wallMs: 1_000_000 + this.system.nowMs + LEASE_MS,
+        }),
+      },
+      () => {
+        this.refusals += 1;
+      },
+      createLog('test', 'hidden', 'error'),
+    );
+  }
+
+  answerNext(status: number): void {
+    const path = `${GRANT_PATH}${SERVICE}`;
+    this.pool.intercept({path, method: 'PUT'}).reply(options => {
+      this.bodies.push(
+        JSON.parse(String(options.body)) as {readonly slices?: unknown},
+      );
+      return {statusCode: status};
+    });
+  }
+
+  failNext(code: string): void {
+    const path = `${GRANT_PATH}${SERVICE}`;
+    const error = Object.assign(new Error(code), {code});
+    this.pool.intercept({path, method: 'PUT'}).replyWithError(error);
+  }
+}
+
+test('a slice is granted from the acknowledgement to the end that it names', async t => {
+  const bench = new Bench();
+  t.false(bench.sender.isGranted(SLICE));
+  bench.answerNext(204);
+  await bench.sender.send(bench.pool);
+  t.true(bench.sender.isGranted(SLICE));
+  t.false(bench.sender.isGranted({...SLICE, token: 4}));
+  bench.system.nowMs += LEASE_MS;
+  t.false(bench.sender.isGranted(SLICE));
+});
+
+test('a grant that was not answered counts until its end', async t => {
+  const bench = new Bench();
+  bench.failNext('UND_ERR_ABORTED');
+  await bench.sender.send(bench.pool);
+  t.false(bench.sender.isGranted(SLICE));
+  t.false(bench.sender.hasLapsed());
+  bench.system.nowMs += LEASE_MS - 1;
+  t.false(bench.sender.hasLapsed());
+  t.is(bench.sender.getUnansweredMs(), LEASE_MS - 1);
+  bench.system.nowMs += 1;
+  t.true(bench.sender.hasLapsed());
+});
+
+test('a renewal lists no slices, unless the server does not know them', async t => {
+  const bench = new Bench();
+  bench.answerNext(204);
+  await bench.sender.send(bench.pool);
+  bench.answerNext(409);
+  bench.answerNext(204);
+  await bench.sender.send(bench.pool);
+  t.deepEqual(
+    bench.bodies.map(body => body.slices),
+    [[[0, 3]], undefined, [[0, 3]]],
+  );
+  t.true(bench.sender.isGranted(SLICE));
+});
+
+test('a revocation is confirmed only by an acknowledged list', async t => {
+  const bench = new Bench();
+  bench.answerNext(204);
+  await bench.sender.send(bench.pool);
+  bench.slices = [];
+  bench.failNext('UND_ERR_ABORTED');
+  t.false(await bench.sender.tryConfirm(bench.pool));
+  bench.answerNext(204);
+  t.true(await bench.sender.tryConfirm(bench.pool));
+  t.deepEqual(bench.bodies[1]?.slices, []);
+});
+
+test('a refused connection is told', async t => {
+  const bench = new Bench();
+  bench.failNext('ECONNREFUSED');
+  await bench.sender.send(bench.pool);
+  t.is(bench.refusals, 1);
+});
--- /dev/null
+++ b/packages/ownership/test/takeover_wait.test.ts
@@ -0,0 +1,53 @@
+/**
+ * Tests of the wait after a takeover where servers check no tokens.
+ */
+import test from 'ava';
+
+import {TakeoverWait} from '../src/takeover_wait.js';
+import type {Assignment, Slice} from '../src/types.js';
+
+const SELF = {host: 'h1', incarnation: 'a'};
+const OTHER = {host: 'h2', incarnation: 'a'};
+const MAX_RUN_MS = 1_000;
+
+function createSlice(change: Partial<Slice>): Slice {
+  const slice = {start: 0, owner: SELF, token: 1, nextOwner: undefined};
+  return {...slice, recordsSince: 0, ...change};
+}
+
+function createAssignment(slices: readonly Slice[]): Assignment {
+  const generation = Math.max(...slices.map(slice => slice.token));
+  return {service: 'menu', generation, slices, writer: SELF};
+}
+
+test('a slice that was first placed or moved by plan is served at once', t => {
+  const wait = new TakeoverWait();
+  const first = createSlice({});
+  const moved = createSlice({start: 9, token: 7, recordsSince: 3});
+  wait.applyAssignment(createAssignment([first, moved]), SELF, 0);
+  t.true(wait.isOver(first, MAX_RUN_MS, 0));
+  t.true(wait.isOver(moved, MAX_RUN_MS, 0));
+});
+
+test('a slice that was taken over waits, also when it is cut or gets a newer token', t => {
+  const wait = new TakeoverWait();
+  const taken = createSlice({token: 5, recordsSince: 5});
+  wait.applyAssignment(createAssignment([taken]), SELF, 100);
+  t.false(wait.isOver(taken, MAX_RUN_MS, 1_099));
+  const cut = createSlice({start: 4, token: 6, recordsSince: 5});
+  wait.applyAssignment(createAssignment([taken, cut]), SELF, 800);
+  t.false(wait.isOver(cut, MAX_RUN_MS, 1_099));
+  t.true(wait.isOver(cut, MAX_RUN_MS, 1_100));
+});
+
+test('a slice that is lost and taken over again waits again', t => {
+  const wait = new TakeoverWait();
+  const taken = createSlice({token: 5, recordsSince: 5});
+  wait.applyAssignment(createAssignment([taken]), SELF, 0);
+  const lost = createSlice({owner: OTHER, token: 6, recordsSince: 6});
+  wait.applyAssignment(createAssignment([lost]), SELF, 500);
+  const again = createSlice({token: 7, recordsSince: 7});
+  wait.applyAssignment(createAssignment([again]), SELF, 2_000);
+  t.false(wait.isOver(again, MAX_RUN_MS, 2_999));
+  t.true(wait.isOver(again, MAX_RUN_MS, 3_000));
+});
