Let a stopping daemon end its servers' grants before its session

A daemon that stops with slices left, because the store was out or a request ran for longer than the limit, ended its session while its server still held a grant with up to 1.9 s to run, so that another owner could begin before that. It now has the grant without slices acknowledged, or waits until every grant has lapsed. Its host counts as leaving from the start of the shutdown, so that what still waits after 3 s is refused as not run.

Tests of what a daemon decides by itself about the servers on its host: no new work after 3 s of leaving or draining, whatever became of the slices, and silence.

--- a/packages/bench/src/dark_time_main.ts
+++ b/packages/bench/src/dark_time_main.ts
@@ -96,6 +96,9 @@
         results.push(await measureLoss(fleet, kind, victim));
       }
     }
+  } catch (error) {
+    process.stderr.write(`${fleet.getLastWords().join('\n')}\n`);
+    throw error;
   } finally {
     await fleet.stop();
     rmSync(directory, {recursive: true, force: true});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -76,6 +76,7 @@
   private readonly gauges: GaugeReporter;
   private readonly listeners: FastifyInstance[] = [];
   private running: Array<Promise<void>> = [];
+  private isLeaving = false;
 
   constructor(
     private readonly settings: Settings,
@@ -202,6 +203,8 @@
 
   async stop(): Promise<void> {
     this.log.writeInfo('The daemon is shutting down.');
+    this.isLeaving = true;
+    this.registry.setDraining(true);
     this.keeper.startLeaving();
     await this.waitUntil(() => this.hasNoSlices(), LEAVING_ADMISSION_MS);
     this.owner.startClosing();
@@ -213,6 +216,7 @@
     this.gauges.stop();
     this.witnesses.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
+    await this.registry.endGrants();
     await this.keeper.stop();
     this.view.stop();
     await this.registry.stop();
@@ -294,7 +298,8 @@
     for (const {assignment} of this.view.getAssignments())
       this.owner.applyAssignment(assignment);
     this.witnesses.fenceEnded();
-    this.registry.setDraining(this.view.isDraining(this.settings.host));
+    const isDraining = this.view.isDraining(this.settings.host);
+    this.registry.setDraining(this.isLeaving || isDraining);
     this.registry.sendGrants();
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -102,6 +102,7 @@
 
   /** Returns the slices that this daemon owns and has not released. */
   getHeldSlices(service: ServiceName): readonly Slice[] {
+    if (this.isClosing && this.running === 0) return [];
     return this.services.get(service)?.gate.getHeldSlices() ?? [];
   }
 
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -6,7 +6,7 @@
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatUrl} from '@dottereldrift/core/member.js';
-import type {System} from '@dottereldrift/core/system.js';
+import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {Instant, ServiceName} from '@dottereldrift/core/types.js';
 import type {SlotPolicy} from '@dottereldrift/limits/types.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
@@ -57,11 +57,12 @@
   /** Services whose lost server may still hold a grant, so that another gets none yet. */
   private readonly heldBack = new Set<ServiceName>();
   private drainingSinceMs: number | undefined;
+  private isRevoking = false;
   private isStopped = false;
 
   constructor(
     private readonly system: System,
-    private readonly keeper: SessionKeeper,
+    private readonly keeper: Pick<SessionKeeper, 'getEnd' | 'setServers'>,
     private readonly createPolicy: PolicyFactory,
     private readonly owned: OwnedSlices,
     /** Returns the rules of a service; undefined when none are in force. */
@@ -172,8 +173,18 @@
     return sender.tryConfirm(entry.pool);
   }
 
+  /** Waits until no server of this host can start a request by a grant that it was sent. */
+  async endGrants(): Promise<void> {
+    this.isRevoking = true;
+    for (const [service, sender] of this.senders) {
+      if (await this.tryRevoke(service)) continue;
+      while (!sender.hasLapsed()) await waitFor(this.system, CHECK_INTERVAL_MS);
+    }
+  }
+
   /** Sends every server its slices and the end of the lease. */
   sendGrants(): void {
+    if (this.isRevoking) return;
     for (const [service, entry] of this.entries) {
       if (this.isChecking(service) && !this.isHeldBack(service))
         void this.getSender(service).send(entry.pool);
--- /dev/null
+++ b/packages/daemon/test/server_registry.test.ts
@@ -0,0 +1,95 @@
+/**
+ * Tests of what a daemon decides about the servers on its host by itself.
+ */
+import test from 'ava';
+
+import {createLog} from '@dottereldrift/core/log.js';
+import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import type {ServerInfo} from '@dottereldrift/membership/types.js';
+
+import {
+  LEAVING_ADMISSION_MS,
+  SERVER_SILENCE_MS,
+  ServerRegistry,
+} from '../src/server_registry.js';
+import {ManualSystem} from './fakes.js';
+
+const SERVICE = 'menu';
+const INFO: ServerInfo = {
+  service: SERVICE,
+  address: {ip: '127.0.0.1', port: 1},
+  slots: 1,
+  connections: 2,
+  isLeaving: false,
+};
+
+class Bench {
+  readonly system = new ManualSystem();
+  readonly published: Array<readonly ServerInfo[]> = [];
+  readonly policy = new FifoPolicy(this.system, 1, 10);
+  readonly registry = new ServerRegistry(
+    this.system,
+    {
+      getEnd: () => ({monotonicMs: Infinity, wallMs: Infinity}),
+      setServers: servers => {
+        this.published.push(servers);
+      },
+    },
+    () => this.policy,
+    {getAssignment: () => undefined, getHeldSlices: () => []},
+    () => undefined,
+    createLog('test', 'hidden', 'error'),
+  );
+
+  /** Has the one slot taken and another request wait; returns the codes of refusals. */
+  addRequests(): readonly string[] {
+    const codes: string[] = [];
+    for (let index = 0; index < 2; index++) {
+      this.policy.requestSlot({
+        kind: 'read',
+        priority: 5,
+        expectedServiceMs: 1,
+        deadlineAtMs: Infinity,
+        caller: '',
+        bytes: 0,
+        onRun: () => {},
+        onRefuse: refusal => codes.push(refusal.code),
+      });
+    }
+    return codes;
+  }
+}
+
+test('a leaving server gets no new work after 3 s, whatever became of its slices', t => {
+  const bench = new Bench();
+  bench.registry.receiveAnnouncement(INFO);
+  t.true(bench.registry.startLeaving(SERVICE));
+  const codes = bench.addRequests();
+  bench.system.shift(LEAVING_ADMISSION_MS - 1);
+  bench.registry.receiveAnnouncement({...INFO, isLeaving: true});
+  t.false(bench.registry.isClosed(SERVICE));
+  bench.system.shift(1);
+  t.true(bench.registry.isClosed(SERVICE));
+  bench.registry.start();
+  t.deepEqual(codes, ['DD3024']);
+});
+
+test('the servers of a draining host get no new work after 3 s', t => {
+  const bench = new Bench();
+  bench.registry.receiveAnnouncement(INFO);
+  bench.registry.setDraining(true);
+  bench.system.shift(LEAVING_ADMISSION_MS);
+  bench.registry.setDraining(true);
+  t.true(bench.registry.isClosed(SERVICE));
+  bench.registry.setDraining(false);
+  t.false(bench.registry.isClosed(SERVICE));
+});
+
+test('a silent server is taken out of the session', t => {
+  const bench = new Bench();
+  bench.registry.receiveAnnouncement(INFO);
+  bench.system.shift(SERVER_SILENCE_MS + 1);
+  bench.registry.start();
+  t.is(bench.registry.getServer(SERVICE), undefined);
+  t.deepEqual(bench.published, [[INFO], []]);
+});
