--- a/packages/daemon/src/grant_sender.ts
+++ b/packages/daemon/src/grant_sender.ts
@@ -35,7 +35,7 @@
   private acknowledgedGeneration = 0;
   private acknowledgedEnd = NEVER;
   /** Latest end that any grant named, acknowledged or not. */
-  private latestEndMs = -Infinity;
+  private latestEnd = NEVER;
   /** Grants that list their slices: asked for and acknowledged. */
   private listsWanted = 0;
   private listsAcknowledged = 0;
@@ -68,7 +68,7 @@
 
   /** Tells whether no grant that was ever sent lets a server start a request now. */
   hasLapsed(): boolean {
-    return this.system.getNow().monotonicMs >= this.latestEndMs;
+    return this.system.getNow().monotonicMs >= this.latestEnd.monotonicMs;
   }
 
   /** Milliseconds for which the server has left a grant unanswered. */
@@ -112,7 +112,7 @@
   private async trySend(server: Dispatcher): Promise<void> {
     const generation = this.source.getGeneration();
     if (generation === 0) return;
-    const end = this.source.getLeaseEnd();
+    const end = this.chooseEnd();
     const issuedAtMs = this.system.getNow().monotonicMs;
     if (end.monotonicMs <= issuedAtMs) return;
     const lists = this.listsWanted;
@@ -129,7 +129,7 @@
         ? {}
         : {slices: slices.map(slice => [slice.start, slice.token])}),
     };
-    this.latestEndMs = Math.max(this.latestEndMs, end.monotonicMs);
+    if (end.monotonicMs > this.latestEnd.monotonicMs) this.latestEnd = end;
     this.unansweredSinceMs ??= issuedAtMs;
     try {
       const status = await this.putGrant(server, JSON.stringify(grant));
@@ -147,6 +147,19 @@
     }
   }
 
+  /**
+   * A server that leaves a grant unanswered gets no later end until it answers, so that its slices can
+   * be given away the sooner if it is lost.
+   */
+  private chooseEnd(): Instant {
+    const leaseEnd = this.source.getLeaseEnd();
+    const isAnswering = this.unansweredSinceMs === undefined;
+    if (isAnswering || this.hasLapsed()) return leaseEnd;
+    return leaseEnd.monotonicMs < this.latestEnd.monotonicMs
+      ? leaseEnd
+      : this.latestEnd;
+  }
+
   private async putGrant(server: Dispatcher, body: string): Promise<number> {
     const answer = await server.request({
       origin: '',
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -51,6 +51,7 @@
 const CHECK_INTERVAL_MS = 250;
 const WRITE_RETRY_DELAY_MS = 300;
 const SETTLE_DELAY_MS = 1_000;
+const SET_POLL_MS = 5;
 /** Step by which the lease end must move before listeners are told. */
 const RENEWAL_STEP_MS = HEARTBEAT_INTERVAL_MS / 2;
 /** Sequences whose send times are kept; more than are sent within one lease. */
@@ -264,12 +265,26 @@
     }
   }
 
+  /**
+   * Waits until a majority of the new witness set has renewed the lease, or no grant that was made
+   * before the new set counted is in force any more. A set that takes effect earlier could fence this
+   * member, never having heard it, while a server still holds such a grant.
+   */
+  private async waitForBothSets(): Promise<void> {
+    const endMs = this.lastSetChangeMs + LEASE_DURATION_MS;
+    while (!this.isHeld() && this.system.getNow().monotonicMs < endMs)
+      await waitFor(this.system, SET_POLL_MS);
+  }
+
   private async runEffect(effect: WriterEffect): Promise<void> {
     switch (effect.kind) {
       case 'none':
         return;
       case 'write':
         this.sendHeartbeats();
+        if (this.writer.inForce !== undefined) await this.waitForBothSets();
+        // Meanwhile this daemon may have become another member.
+        if (this.writer.underWay !== effect.write) return;
         return this.writeSession(effect.write);
       case 'read':
         return this.readSession();
--- a/packages/daemon/test/grant_sender.test.ts
+++ b/packages/daemon/test/grant_sender.test.ts
@@ -112,6 +112,20 @@
   t.true(bench.sender.hasLapsed());
 });
 
+test('a server that leaves a grant unanswered gets no later end until it answers', async t => {
+  const bench = new Bench();
+  bench.failNext('UND_ERR_ABORTED');
+  await bench.sender.send(bench.pool);
+  bench.system.nowMs += 1_000;
+  bench.failNext('UND_ERR_ABORTED');
+  await bench.sender.send(bench.pool);
+  bench.system.nowMs += LEASE_MS - 1_000;
+  t.true(bench.sender.hasLapsed());
+  bench.answerNext(204);
+  await bench.sender.send(bench.pool);
+  t.true(bench.sender.isGranted(SLICE));
+});
+
 test('a renewal lists no slices, unless the server does not know them', async t => {
   const bench = new Bench();
   bench.answerNext(204);
