--- a/packages/bench/src/overload_policies.ts
+++ b/packages/bench/src/overload_policies.ts
@@ -20,7 +20,6 @@
 
 const UNBOUNDED = 10_000_000;
 const BOUND = 256;
-const SLOW_START_MS = 2_000;
 
 const PARTS: ReadonlyArray<readonly [string, Partial<AdaptiveOptions>]> = [
   ['deadline', {isDeadlineChecked: true}],
@@ -28,26 +27,24 @@
   ['weights', {isWeighted: true}],
   ['wait', {waitMultiple: ADAPTIVE_OPTIONS.waitMultiple}],
   ['drop', {dropMultiple: ADAPTIVE_OPTIONS.dropMultiple}],
-  ['newest', {isNewestFirst: true}],
   ['fair', {isFair: true}],
-  ['slow-start', {slowStartMs: SLOW_START_MS}],
 ];
 
 /** Every policy, the baselines first. */
 export const POLICIES: readonly NamedPolicy[] = [
   {
     name: 'fifo',
-    create: (system, slots) => new FifoPolicy(system, slots, UNBOUNDED),
+    create: (system, slots) => new FifoPolicy(system, slots, () => UNBOUNDED),
   },
   {
     name: 'fifo-256',
-    create: (system, slots) => new FifoPolicy(system, slots, BOUND),
+    create: (system, slots) => new FifoPolicy(system, slots, () => BOUND),
   },
   ...PARTS.map(([name, part]) =>
     createNamed(`only ${name}`, {...PLAIN_OPTIONS, ...part}),
   ),
   createNamed('adaptive', ADAPTIVE_OPTIONS),
-  ...PARTS.map(([name, part]) => createChanged(name, part)),
+  ...PARTS.map(([name, part]) => createWithout(name, part)),
 ];
 
 /** Names of the policies that a short comparison takes. */
@@ -57,28 +54,20 @@
   'adaptive',
 ]);
 
-/** The adaptive policy without a part that it has, or with one that it has not. */
-function createChanged(
+/** The adaptive policy without one of its parts. */
+function createWithout(
   name: string,
   part: Partial<AdaptiveOptions>,
 ): NamedPolicy {
-  const entries = Object.entries(part) as Array<
-    [keyof AdaptiveOptions, AdaptiveOptions[keyof AdaptiveOptions]]
-  >;
-  const isUsed = entries.every(
-    ([key, value]) => ADAPTIVE_OPTIONS[key] === value,
-  );
-  if (!isUsed)
-    return createNamed(`with ${name}`, {...ADAPTIVE_OPTIONS, ...part});
-  const plain = Object.fromEntries(
-    entries.map(([key]) => [key, PLAIN_OPTIONS[key]]),
-  );
+  const names = Object.keys(part) as Array<keyof AdaptiveOptions>;
+  const plain = Object.fromEntries(names.map(key => [key, PLAIN_OPTIONS[key]]));
   return createNamed(`without ${name}`, {...ADAPTIVE_OPTIONS, ...plain});
 }
 
 function createNamed(name: string, options: AdaptiveOptions): NamedPolicy {
   return {
     name,
-    create: (system, slots) => new AdaptivePolicy(system, slots, options),
+    create: (system, slots) =>
+      new AdaptivePolicy(system, slots, options, () => BOUND),
   };
 }
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -2,7 +2,7 @@
  * The backend servers on this host: what they announced, whether they answer, and the grants that
  * they hold.
  */
-import {Pool} from 'undici';
+import {type Dispatcher, Pool} from 'undici';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatUrl} from '@dottereldrift/core/member.js';
@@ -21,8 +21,8 @@
 /** Silence after which it is taken for lost if it leaves grants unanswered as well. */
 const SHORT_SILENCE_MS = 1_500;
 const UNANSWERED_LIMIT_MS = 1_000;
-/** Time after which a leaving server gets no new work even if its slices have not moved. */
-export const LEAVING_ADMISSION_MS = 3_000;
+/** Time after which what leaves gets no new work, even if its slices could not be moved. */
+export const LEAVING_ADMISSION_MS = 2_500;
 
 const CHECK_INTERVAL_MS = 100;
 const CONNECT_TIMEOUT_MS = 500;
@@ -30,13 +30,13 @@
 /** A server on this host. */
 export interface LocalServer {
   readonly info: ServerInfo;
-  readonly pool: Pool;
+  readonly pool: Dispatcher;
   readonly policy: SlotPolicy;
 }
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
-  /** When the server or its host began to leave; undefined while it stays. */
+  /** When the server first said that it leaves; undefined while it stays. */
   readonly leavingSinceMs: number | undefined;
 }
 
@@ -50,6 +50,9 @@
 /** Creates the policy that gives the slots of a server. */
 export type PolicyFactory = (service: ServiceName, slots: number) => SlotPolicy;
 
+/** Opens the connections to a server. */
+export type ServerPoolFactory = (info: ServerInfo) => Dispatcher;
+
 /** Keeps the servers of this host. */
 export class ServerRegistry {
   private readonly entries = new Map<ServiceName, Entry>();
@@ -68,6 +71,7 @@
     /** Returns the rules of a service; undefined when none are in force. */
     readonly getRules: (service: ServiceName) => ServiceRules | undefined,
     private readonly log: Log,
+    private readonly createPool: ServerPoolFactory = createServerPool,
   ) {}
 
   /** Takes an announcement: a new server, or a sign of life of a known one. */
@@ -78,8 +82,12 @@
       const leavingSinceMs = info.isLeaving
         ? (present.leavingSinceMs ?? lastSeenMs)
         : undefined;
-      const entry = {...present, info, lastSeenMs, leavingSinceMs};
-      this.entries.set(info.service, entry);
+      this.entries.set(info.service, {
+        ...present,
+        info,
+        lastSeenMs,
+        leavingSinceMs,
+      });
       present.policy.setSlots(info.slots);
       if (!isSameInfo(present.info, info)) this.publishServers();
       return;
@@ -90,7 +98,7 @@
       info,
       lastSeenMs,
       leavingSinceMs: info.isLeaving ? lastSeenMs : undefined,
-      pool: createServerPool(info),
+      pool: this.createPool(info),
       policy: this.createPolicy(info.service, info.slots),
     });
     this.log.writeInfo('A backend server announced itself.', {
@@ -104,38 +112,37 @@
   startLeaving(service: ServiceName): boolean {
     const present = this.entries.get(service);
     if (present === undefined) return false;
-    const nowMs = this.system.getNow().monotonicMs;
     this.entries.set(service, {
       ...present,
       info: {...present.info, isLeaving: true},
-      leavingSinceMs: present.leavingSinceMs ?? nowMs,
+      leavingSinceMs:
+        present.leavingSinceMs ?? this.system.getNow().monotonicMs,
     });
     this.publishServers();
     return true;
   }
 
-  /** Takes note whether operators drain this host. */
+  /** Takes note that a server is gone, by its own word: it runs nothing any more. */
+  removeServer(service: ServiceName): void {
+    this.removeEntry(service, 'it left');
+    this.publishServers();
+  }
+
+  /** Takes note of whether operators drain this host. */
   setDraining(isDraining: boolean): void {
-    const nowMs = this.system.getNow().monotonicMs;
     this.drainingSinceMs = isDraining
-      ? (this.drainingSinceMs ?? nowMs)
+      ? (this.drainingSinceMs ?? this.system.getNow().monotonicMs)
       : undefined;
   }
 
-  /** Tells whether a server has been leaving for so long that it gets no new work. */
-  isClosed(service: ServiceName): boolean {
-    const since = this.entries.get(service)?.leavingSinceMs;
-    const firstMs = Math.min(
-      since ?? Infinity,
+  /** Tells whether a server may still be given work: it stays, or began to leave a moment ago. */
+  isAccepting(service: ServiceName): boolean {
+    const nowMs = this.system.getNow().monotonicMs;
+    const sinceMs = Math.min(
+      this.entries.get(service)?.leavingSinceMs ?? Infinity,
       this.drainingSinceMs ?? Infinity,
     );
-    return this.system.getNow().monotonicMs - firstMs >= LEAVING_ADMISSION_MS;
-  }
-
-  /** Takes note that a server is gone, by its own word: it runs nothing any more. */
-  removeServer(service: ServiceName): void {
-    this.removeEntry(service, 'it left');
-    this.publishServers();
+    return nowMs - sinceMs < LEAVING_ADMISSION_MS;
   }
 
   getServer(service: ServiceName): LocalServer | undefined {
@@ -213,7 +220,7 @@
       if (this.isSilent(entry)) {
         this.endLostServer(service, 'it is silent');
         this.publishServers();
-      } else if (this.isClosed(service)) {
+      } else if (!this.isAccepting(service)) {
         entry.policy.refuseAll('DD3024');
       }
     }
@@ -276,7 +283,8 @@
   }
 }
 
-function createServerPool(info: ServerInfo): Pool {
+/** Opens the connections to a server over HTTP. */
+export function createServerPool(info: ServerInfo): Dispatcher {
   return new Pool(formatUrl(info.address), {
     connections: Math.max(1, info.connections - 1),
     pipelining: 1,
--- a/packages/daemon/test/server_registry.test.ts
+++ b/packages/daemon/test/server_registry.test.ts
@@ -26,7 +26,7 @@
 class Bench {
   readonly system = new ManualSystem();
   readonly published: Array<readonly ServerInfo[]> = [];
-  readonly policy = new FifoPolicy(this.system, 1, 10);
+  readonly policy = new FifoPolicy(this.system, 1, () => 10);
   readonly registry = new ServerRegistry(
     this.system,
     {
@@ -60,29 +60,29 @@
   }
 }
 
-test('a leaving server gets no new work after 3 s, whatever became of its slices', t => {
+test('a leaving server gets no new work after a few seconds, whatever became of its slices', t => {
   const bench = new Bench();
   bench.registry.receiveAnnouncement(INFO);
   t.true(bench.registry.startLeaving(SERVICE));
   const codes = bench.addRequests();
   bench.system.shift(LEAVING_ADMISSION_MS - 1);
   bench.registry.receiveAnnouncement({...INFO, isLeaving: true});
-  t.false(bench.registry.isClosed(SERVICE));
+  t.true(bench.registry.isAccepting(SERVICE));
   bench.system.shift(1);
-  t.true(bench.registry.isClosed(SERVICE));
+  t.false(bench.registry.isAccepting(SERVICE));
   bench.registry.start();
   t.deepEqual(codes, ['DD3024']);
 });
 
-test('the servers of a draining host get no new work after 3 s', t => {
+test('the servers of a draining host get no new work after a few seconds', t => {
   const bench = new Bench();
   bench.registry.receiveAnnouncement(INFO);
   bench.registry.setDraining(true);
   bench.system.shift(LEAVING_ADMISSION_MS);
   bench.registry.setDraining(true);
-  t.true(bench.registry.isClosed(SERVICE));
+  t.false(bench.registry.isAccepting(SERVICE));
   bench.registry.setDraining(false);
-  t.false(bench.registry.isClosed(SERVICE));
+  t.true(bench.registry.isAccepting(SERVICE));
 });
 
 test('a silent server is taken out of the session', t => {
