--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -40,6 +40,8 @@
   /** Directory for settings and records. */
   readonly directory: string;
   readonly stragglerShare: number;
+  /** Whether the servers check fencing tokens; true when absent. */
+  readonly isFencing?: boolean;
   /** Whether a link stands before each daemon and between each daemon and the store. */
   readonly hasLinks?: boolean;
   /** Program of the servers, called with service, IP number, port and daemon URL. */
@@ -402,7 +404,7 @@
         serviceMs: plan.serviceMs,
         stragglerShare: options.stragglerShare,
         stragglerFactor: 50,
-        isFencing: true,
+        isFencing: options.isFencing ?? true,
         coldMs: 0,
         recordsPath,
       },
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -92,6 +92,7 @@
   private readonly gauges: GaugeReporter;
   protected readonly listeners: Array<{close(): PromiseLike<unknown>}> = [];
   private running: Array<Promise<void>> = [];
+  private isLeaving = false;
 
   constructor(
     protected readonly settings: Settings,
@@ -150,7 +151,10 @@
       system,
       this.keeper,
       (service, slots) => this.createPolicy(service, slots),
-      service => this.owner.getAssignment(service),
+      {
+        getAssignment: service => this.owner.getAssignment(service),
+        getHeldSlices: service => this.owner.getHeldSlices(service),
+      },
       service => this.view.getManifest()?.manifest.services[service],
       this.log.createPart('servers'),
       edges.createServerPool,
@@ -160,6 +164,7 @@
       system,
       this.view,
       this.owner,
+      this.registry,
       peers,
       this.log.createPart('mover'),
     );
@@ -235,6 +240,8 @@
 
   async stop(): Promise<void> {
     this.log.writeInfo('The daemon is shutting down.');
+    this.isLeaving = true;
+    this.registry.setDraining(true);
     this.keeper.startLeaving();
     await this.waitUntil(() => this.hasNoSlices(), LEAVING_ADMISSION_MS);
     this.owner.startClosing();
@@ -248,6 +255,7 @@
     this.witnesses.stop();
     this.viewParts.relay.stop();
     await Promise.all(this.listeners.map(listener => listener.close()));
+    await this.registry.endGrants();
     await this.keeper.stop();
     this.viewParts.follower.stop();
     await this.registry.stop();
@@ -336,7 +344,8 @@
       this.loadReporter.applyAssignment(assignment);
     }
     this.witnesses.fenceEnded();
-    this.registry.setDraining(this.view.isDraining(this.settings.host));
+    const isDraining = this.view.isDraining(this.settings.host);
+    this.registry.setDraining(this.isLeaving || isDraining);
     this.registry.sendGrants();
   }
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -9,6 +9,7 @@
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import {SliceGate} from '@dottereldrift/ownership/slice_gate.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
+import {TakeoverWait} from '@dottereldrift/ownership/takeover_wait.js';
 import type {
   Assignment,
   Slice,
@@ -42,6 +43,7 @@
 interface ServiceState {
   readonly gate: SliceGate;
   readonly guard: OnceGuard;
+  readonly wait: TakeoverWait;
 }
 
 /** A request that has passed the checks. */
@@ -67,7 +69,7 @@
 /** What an owner needs to know of the servers on its host. */
 export type ServerView = Pick<
   ServerRegistry,
-  'getServer' | 'isGranted' | 'isAccepting'
+  'getServer' | 'getRules' | 'isGranted' | 'isAccepting' | 'getGrantEnd'
 >;
 
 /** Runs requests on this host's backend servers. */
@@ -90,9 +92,18 @@
 
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
-    const {gate, guard} = this.getState(assignment.service);
+    const {gate, guard, wait} = this.getState(assignment.service);
     gate.applyAssignment(assignment);
     guard.applyAssignment(assignment);
+    const nowMs = this.system.getNow().monotonicMs;
+    const inForce = gate.getAssignment() ?? assignment;
+    wait.applyAssignment(inForce, this.keeper.getMember(), nowMs);
+  }
+
+  /** Returns the slices that this daemon owns and has not released. */
+  getHeldSlices(service: ServiceName): readonly Slice[] {
+    if (this.isClosing && this.running === 0) return [];
+    return this.services.get(service)?.gate.getHeldSlices() ?? [];
   }
 
   getAssignment(service: ServiceName): Assignment | undefined {
@@ -127,7 +138,20 @@
     refs: readonly SliceRef[],
   ): readonly SliceRef[] {
     if (owner.incarnation !== this.keeper.getMember().incarnation) return [];
-    return this.getState(service).gate.releaseSlices(refs);
+    const {gate} = this.getState(service);
+    const slices = gate.getAssignment()?.slices ?? [];
+    return gate.releaseSlices(refs).filter(ref => {
+      const slice = findSlice(slices, ref.start);
+      return slice !== undefined && this.isWaitOver(service, slice);
+    });
+  }
+
+  /** Tells whether a slice that was taken over may be served by a server that checks no tokens. */
+  private isWaitOver(service: ServiceName, slice: Slice): boolean {
+    const rules = this.registry.getRules(service);
+    if (rules === undefined || rules.fencing === 'checked') return true;
+    const nowMs = this.system.getNow().monotonicMs;
+    return this.getState(service).wait.isOver(slice, rules.maxRunMs, nowMs);
   }
 
   /** Returns the entries of slices, to be handed over. */
@@ -159,11 +183,15 @@
     const checked = this.checkAdmission(exchange);
     if ('outcome' in checked) return {kind: 'failed', failure: checked};
     this.running += 1;
-    const endGate = checked.state.gate.startRequest(checked.position);
+    const endGate = startInGate(checked);
+    let busyMs = 0;
     try {
-      return await this.runOnce(checked);
+      const result = await this.runOnce(checked);
+      if (mayStillRun(exchange, result)) busyMs = exchange.rules.maxRunMs;
+      return result;
     } finally {
-      endGate();
+      if (busyMs === 0) endGate();
+      else this.system.startTimer(busyMs, endGate);
       this.running -= 1;
     }
   }
@@ -187,7 +215,8 @@
     }
     if (
       answer.kind === 'moving' ||
-      !this.registry.isGranted(service, answer.slice)
+      !this.registry.isGranted(service, answer.slice) ||
+      !this.isWaitOver(service, answer.slice)
     ) {
       return refuse('DD3005', SHORT_RETRY_MS);
     }
@@ -210,9 +239,15 @@
     return new Promise(resolve => {
       let withdraw = () => {};
       const leave = () => {
+        forget();
         withdraw();
         resolve(fail(refuse('DD3022', 0)));
       };
+      const forget = addToGate(admitted, () => {
+        exchange.abandonment.removeListener(leave);
+        withdraw();
+        resolve(fail(refuse('DD3005', SHORT_RETRY_MS)));
+      });
       exchange.abandonment.addListener(leave);
       withdraw = server.policy.requestSlot({
         kind: exchange.kind.name,
@@ -225,6 +260,7 @@
             ? exchange.body.bytes.byteLength
             : 0,
         onRun: finish => {
+          forget();
           exchange.abandonment.removeListener(leave);
           void this.sendToServer(admitted)
             .catch(createDefect)
@@ -234,6 +270,7 @@
             });
         },
         onRefuse: refusal => {
+          forget();
           exchange.abandonment.removeListener(leave);
           resolve(fail(createRefusal(exchange, refusal)));
         },
@@ -243,6 +280,7 @@
 
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server, slice} = admitted;
+    const {service} = exchange.target;
     const refusal = this.findLateRefusal(admitted);
     if (refusal !== undefined) return fail(refusal);
     const nowMs = this.system.getNow().monotonicMs;
@@ -258,7 +296,7 @@
         [REMAINING_HEADER]: String(
           Math.max(0, Math.round(exchange.deadlineAtMs - nowMs)),
         ),
-        ...this.createFencingHeaders(slice),
+        ...this.createFencingHeaders(service, slice),
       },
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs,
@@ -290,13 +328,16 @@
     const answer = state.gate.checkPosition(position);
     if (answer.kind === 'not-owned' || answer.slice.token !== slice.token)
       return refuse('DD3017', 0);
+    if (!this.registry.isGranted(service, slice))
+      return refuse('DD3005', SHORT_RETRY_MS);
     return undefined;
   }
 
   private createFencingHeaders(
+    service: ServiceName,
     slice: Slice | undefined,
   ): Record<string, string> {
-    const end = this.keeper.getEnd();
+    const end = this.registry.getGrantEnd(service, slice);
     const lease = {
       [LEASE_END_HEADER]: String(Math.floor(end.wallMs)),
       [LEASE_END_MONOTONIC_HEADER]: String(Math.floor(end.monotonicMs)),
@@ -315,6 +356,7 @@
     const state = {
       gate: new SliceGate(this.keeper.getMember()),
       guard: new OnceGuard(this.system, this.limits),
+      wait: new TakeoverWait(),
     };
     this.services.set(service, state);
     return state;
@@ -335,6 +377,28 @@
   return hashKey(idempotencyKey);
 }
 
+/** Counts a request that needs a slice; the returned function ends it. */
+function startInGate(admitted: Admitted): () => void {
+  const {slice, position, state} = admitted;
+  return slice === undefined ? () => {} : state.gate.startRequest(position);
+}
+
+/** Lets a release hand a waiting request back; the returned function forgets it. */
+function addToGate(admitted: Admitted, handBack: () => void): () => void {
+  const {slice, position, state} = admitted;
+  return slice === undefined
+    ? () => {}
+    : state.gate.addWaiting(position, handBack);
+}
+
+/** Tells whether a server that checks no tokens may go on with a request whose answer was lost. */
+function mayStillRun(exchange: Exchange, result: AttemptResult): boolean {
+  if (exchange.rules.fencing === 'checked') return false;
+  return result.kind === 'answered'
+    ? result.isCut
+    : result.failure.outcome === 'unknown';
+}
+
 /** The generation lets embedded clients see that their routes are old. */
 function createAnswerHeaders({slice, state}: Admitted): Record<string, string> {
   const outcome = {[OUTCOME_HEADER]: 'completed'};
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -77,7 +77,13 @@
         getMember: () => this.member,
         getEnd: () => ({monotonicMs: 5_000, wallMs: 1_700_000_005_000}),
       },
-      {getServer: () => local, isGranted: () => true, isAccepting: () => true},
+      {
+        getServer: () => local,
+        getRules: () => undefined,
+        isGranted: () => true,
+        isAccepting: () => true,
+        getGrantEnd: () => ({monotonicMs: 5_000, wallMs: 1_700_000_005_000}),
+      },
       LIMITS,
     );
     this.applySlice({});
--- a/packages/scenario/src/virtual_server.ts
+++ b/packages/scenario/src/virtual_server.ts
@@ -76,8 +76,8 @@
     body: string,
   ): Promise<ServerAnswer> {
     if (path.startsWith(GRANTS_PATH)) {
-      this.grants.takeGrant(JSON.parse(body) as GrantBody);
-      return {status: 204, headers: {}, body: ''};
+      const isTaken = this.grants.tryTakeGrant(JSON.parse(body) as GrantBody);
+      return {status: isTaken ? 204 : 409, headers: {}, body: ''};
     }
     if (this.running >= this.options.info.slots)
       await new Promise<void>(resolve => this.waiting.push(resolve));
--- a/packages/standins/src/backend_server.ts
+++ b/packages/standins/src/backend_server.ts
@@ -123,8 +123,8 @@
 
   private addRoutes(): void {
     this.app.put('/dottereldrift/grants/:service', (request, reply) => {
-      this.grants.takeGrant(JSON.parse(String(request.body)) as GrantBody);
-      return reply.code(204).send();
+      const grant = JSON.parse(String(request.body)) as GrantBody;
+      return reply.code(this.grants.tryTakeGrant(grant) ? 204 : 409).send();
     });
     this.app.get('/dottereldrift/records', () => this.records);
     this.app.all('/*', (request, reply) => this.serveRequest(request, reply));
--- a/packages/standins/src/grant_table.ts
+++ b/packages/standins/src/grant_table.ts
@@ -7,6 +7,7 @@
 /** A grant as the daemon sends it; `slices` is absent when only the lease is renewed. */
 export interface GrantBody {
   readonly generation: number;
+  readonly issuedAtMonotonicMs: number;
   readonly leaseEndUnixMs: number;
   readonly leaseEndMonotonicMs: number;
   readonly slices?: ReadonlyArray<readonly [number, number]>;
@@ -21,18 +22,24 @@
 export class GrantTable {
   private readonly granted = new Map<number, number>();
   private generation = 0;
+  private issuedAtMs = 0;
   private leaseEndUnixMs = 0;
   private leaseEndMonotonicMs = 0;
 
-  /** Takes a grant unless a higher generation is known. */
-  takeGrant(grant: GrantBody): void {
-    if (grant.generation < this.generation) return;
+  /** Refuses a grant that was overtaken, and one that renews slices which were never listed. */
+  tryTakeGrant(grant: GrantBody): boolean {
+    if (grant.generation < this.generation) return false;
+    if (grant.issuedAtMonotonicMs < this.issuedAtMs) return false;
+    const isRenewal = grant.slices === undefined;
+    if (isRenewal && grant.generation !== this.generation) return false;
     this.generation = grant.generation;
+    this.issuedAtMs = grant.issuedAtMonotonicMs;
     this.leaseEndUnixMs = grant.leaseEndUnixMs;
     this.leaseEndMonotonicMs = grant.leaseEndMonotonicMs;
-    if (grant.slices === undefined) return;
+    if (grant.slices === undefined) return true;
     this.granted.clear();
     for (const [start, token] of grant.slices) this.granted.set(start, token);
+    return true;
   }
 
   /** Returns why a request must not run; undefined when it may. */
