--- a/packages/core/src/system.ts
+++ b/packages/core/src/system.ts
@@ -26,11 +26,13 @@
 const NS_PER_MS = 1e6;
 
 class NodeSystem implements System {
+  /** Monotonic time of the host at which this process's own clock began. */
+  private readonly originMs =
+    Number(hrtime.bigint()) / NS_PER_MS - performance.now();
+
   getNow(): Instant {
-    return {
-      monotonicMs: Number(hrtime.bigint()) / NS_PER_MS,
-      wallMs: Date.now(),
-    };
+    const monotonicMs = this.originMs + performance.now();
+    return {monotonicMs, wallMs: Date.now()};
   }
 
   startTimer(delayMs: number, callback: () => void): Cancel {
