Give the ring position, the hosts of a fleet and HTML text a file each

Change: `request_position.ts` out of the owner, `fleet_hosts.ts` out of the fleet, `encodeHtml` in core for both pages that use it; `getKeyPosition` is gone. No behaviour changes.

--- a/packages/bench/src/bar_chart.ts
+++ b/packages/bench/src/bar_chart.ts
@@ -1,6 +1,7 @@
 /**
  * Bar charts as inline SVG, for pages that need nothing from elsewhere.
  */
+import {encodeHtml} from '@dottereldrift/core/html.js';
 
 /** One bar. */
 export interface Bar {
@@ -25,15 +26,6 @@
   return `<h2>${encodeHtml(title)}</h2>\n${svg}`;
 }
 
-/** Returns text that is safe within a page. */
-export function encodeHtml(text: string): string {
-  return text
-    .replace(/&/g, '&amp;')
-    .replace(/</g, '&lt;')
-    .replace(/>/g, '&gt;')
-    .replace(/"/g, '&quot;');
-}
-
 function formatBar(bar: Bar, index: number, largest: number): string {
   const top = index * ROW_HEIGHT_PX;
   const baseline = top + ROW_HEIGHT_PX - 5;
--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -21,6 +21,7 @@
 } from '@dottereldrift/standins/store_server.js';
 
 import type {Deployment} from './deployments.js';
+import {createHosts, SERVER_PORT} from './fleet_hosts.js';
 import {FleetProcess} from './processes.js';
 
 /** A host of the fleet. */
@@ -54,15 +55,11 @@
 
 const CALLER_PORT = 7101;
 const PEER_PORT = 7102;
-const SERVER_PORT = 7103;
 const OPERATOR_PORT = 7104;
-const BACKEND_PORT = 7110;
 const PEER_LINK_PORT = 7202;
 const STORE_LINK_PORT = 7205;
 const READY_TIMEOUT_MS = 60_000;
 const POLL_INTERVAL_MS = 50;
-const FIRST_NETWORK = 20;
-const NETWORKS = 200;
 const LAST_WORDS_LENGTH = 1_000;
 
 /** Key by which the daemons of a test fleet know each other. */
@@ -362,56 +359,6 @@
   }
 }
 
-/**
- * Returns the second and third number of the hosts' IP numbers, so that the fleets of two processes
- * run side by side.
- */
-function createNetwork(): string {
-  const second = FIRST_NETWORK + (process.pid % NETWORKS);
-  const third = 1 + (Math.floor(process.pid / NETWORKS) % NETWORKS);
-  return `${second}.${third}`;
-}
-
-function createHosts(options: FleetOptions): readonly FleetHost[] {
-  const {deployment, directory} = options;
-  const network = createNetwork();
-  const names = deployment.services.flatMap(plan =>
-    Array.from({length: plan.servers}, (_, index) => ({
-      plan,
-      name: `${plan.service}-${index + 1}`,
-    })),
-  );
-  return names.map(({plan, name}, index) => {
-    const ip = `127.${network}.${index + 1}`;
-    const dataCentre =
-      deployment.dataCentres[index % deployment.dataCentres.length] ?? '';
-    const recordsPath = join(directory, `${name}.records`);
-    return {
-      name,
-      ip,
-      dataCentre,
-      service: plan.service,
-      settingsPath: join(directory, `${name}.json`),
-      recordsPath,
-      serverOptions: {
-        service: plan.service,
-        host: name,
-        ip,
-        port: BACKEND_PORT,
-        daemonUrl: `http://${ip}:${SERVER_PORT}`,
-        slots: deployment.slots,
-        connections: deployment.connections,
-        serviceMs: plan.serviceMs,
-        stragglerShare: options.stragglerShare,
-        stragglerFactor: 50,
-        isFencing: options.isFencing ?? true,
-        coldMs: 0,
-        recordsPath,
-      },
-    };
-  });
-}
-
 function readRecordFile(path: string): readonly RunRecord[] {
   try {
     return readFileSync(path, 'utf8')
--- a/packages/cli/src/report_html.ts
+++ b/packages/cli/src/report_html.ts
@@ -2,6 +2,7 @@
  * Formats the report on service-level burn as one page of HTML with plots, which needs nothing from
  * elsewhere.
  */
+import {encodeHtml} from '@dottereldrift/core/html.js';
 import type {
   BurnPoint,
   KindReport,
@@ -112,11 +113,3 @@
   const total = good + bad;
   return total === 0 ? 0 : bad / total / (1 - objective);
 }
-
-function encodeHtml(text: string): string {
-  return text
-    .replace(/&/g, '&amp;')
-    .replace(/</g, '&lt;')
-    .replace(/>/g, '&gt;')
-    .replace(/"/g, '&quot;');
-}
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -2,7 +2,6 @@
  * The entry's stage of a request: finds the daemon that owns it, sends it there, tries again where
  * that is allowed, and tells the caller the outcome.
  */
-import {hashKey} from '@dottereldrift/core/ring_hash.js';
 import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {ServiceName} from '@dottereldrift/core/types.js';
@@ -33,7 +32,8 @@
 
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {Forwarder} from './forwarder.js';
-import {getPosition, type Owner} from './owner.js';
+import type {Owner} from './owner.js';
+import {getPosition} from './request_position.js';
 import type {StoreView} from './store_view.js';
 
 const ROUTE_WAIT_MS = 10;
@@ -250,8 +250,3 @@
     failure: {outcome: 'not-run', code, text, retryAfterMs: ROUTE_WAIT_MS},
   };
 }
-
-/** Returns the ring position of a key, for explanations. */
-export function getKeyPosition(key: string): number {
-  return hashKey(key);
-}
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -2,7 +2,6 @@
  * The owner's stage of a request: checks lease and slice, looks the idempotency key up, waits for a
  * slot, sends the request to the backend server on this host and notes how it ended.
  */
-import {hashKey} from '@dottereldrift/core/ring_hash.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
 import type {WindowEntry} from '@dottereldrift/limits/idempotency_window.js';
@@ -33,6 +32,7 @@
 } from './headers.js';
 import {sendAttempt} from './http_attempt.js';
 import {OnceGuard} from './once_guard.js';
+import {getPosition} from './request_position.js';
 import type {LocalServer, ServerRegistry} from './server_registry.js';
 import type {SessionKeeper} from './session_keeper.js';
 import type {Limits} from './settings.js';
@@ -363,20 +363,6 @@
   }
 }
 
-/**
- * Returns the ring position that decides the owner of a request: its key's, or for a service that is
- * not divided by key its idempotency key's, if repeats must be recognized.
- */
-export function getPosition(
-  exchange: Pick<Exchange, 'rules' | 'target' | 'idempotencyKey' | 'kind'>,
-): number | undefined {
-  const {rules, target, idempotencyKey, kind} = exchange;
-  if (rules.division === 'byKey')
-    return target.key === undefined ? undefined : hashKey(target.key);
-  if (idempotencyKey === undefined || kind.idempotent) return undefined;
-  return hashKey(idempotencyKey);
-}
-
 /** Counts a request that needs a slice; the returned function ends it. */
 function startInGate(admitted: Admitted): () => void {
   const {slice, position, state} = admitted;
