Serve short work first, share keys by observed capacity, refuse when behind, bound the stop

Servers of speeds 0.5 to 1.5 had equal shares of the keys. After all daemons were killed, requests were sent on 2 s after their callers had left (GONE), and a daemon that stopped was killed at the end of its time. A member without a lease waited for both of its witness sets, one of which was dead.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -63,6 +63,7 @@
   DD3031: 'The head of the request is larger than the limit.',
   DD3032: '{peer} sent an answer that belongs to another request.',
   DD3033: 'No route of the configuration covers {host}{path}.',
+  DD3034: 'This daemon is behind with its work; try again.',
   DD3099: 'The daemon failed while it handled the request: {reason}.',
   DD4001: 'The announcement is not valid.',
   DD4002:
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -33,6 +33,7 @@
 import {LoadBook} from './load_book.js';
 import {LoadReporter} from './load_reporter.js';
 import type {ListenerDrain} from './listener_drain.js';
+import {LoopMonitor} from './loop_monitor.js';
 import {Mover} from './mover.js';
 import {Owner} from './owner.js';
 import type {PeerServiceParts} from './peer_listener.js';
@@ -56,6 +57,8 @@
 const CONNECTION_DRAIN_MS = 1_000;
 const SHUTDOWN_LIMIT_MS = 30_000;
 const SHUTDOWN_POLL_MS = 20;
+/** Time before the end of the platform's patience at which the process ends by itself. */
+const STOP_MARGIN_MS = 500;
 /** Time for callers to be told that this daemon takes no more, before it ends to start again. */
 const RETURN_NOTICE_MS = 2_200;
 
@@ -109,6 +112,7 @@
   private readonly gauges: GaugeReporter;
   /** Present where the configuration is read from a platform's own object. */
   private readonly configuration: ConfigurationFollower | undefined;
+  private readonly loop: LoopMonitor;
   private readonly drains: ListenerDrain[] = [];
   protected readonly listeners: Array<{close(): PromiseLike<unknown>}> = [];
   private running: Array<Promise<void>> = [];
@@ -123,6 +127,7 @@
   ) {
     const {limits} = settings;
     const {peers} = edges;
+    this.loop = new LoopMonitor(system);
     this.metrics = createMetrics(settings.statsdAddress);
     this.store = new CountingStore(edges.store, this.counters);
     this.view = new StoreView(system, this.log.createPart('store'));
@@ -222,6 +227,7 @@
       this.loadBook,
       getSelf,
       this.log.createPart('load'),
+      service => this.registry.getServer(service)?.policy.getCapacity(),
     );
     this.owner.addAdmissionListener((service, start, position) => {
       this.loadReporter.addRequest(service, start, position);
@@ -263,6 +269,7 @@
     this.keeper.addRenewalListener(() => {
       this.registry.sendGrants();
     });
+    if (this.platform !== undefined) this.loop.start();
     this.witnesses.start();
     this.registry.start();
     this.gauges.start();
@@ -277,6 +284,13 @@
   }
 
   async stop(): Promise<void> {
+    if (this.platform === undefined) return this.stopParts();
+    // The platform ends the process at the end of its time, whatever still runs.
+    const limitMs = this.platform.graceMs - STOP_MARGIN_MS;
+    await Promise.race([this.stopParts(), waitFor(this.system, limitMs)]);
+  }
+
+  private async stopParts(): Promise<void> {
     const isReturning =
       this.settings.grants === 'answered' && this.registry.hasStayingServer();
     this.log.writeInfo('The daemon is shutting down.', {isReturning});
@@ -296,6 +310,7 @@
     this.coordinator.stop();
     this.loadReporter.stop();
     this.gauges.stop();
+    this.loop.stop();
     this.witnesses.stop();
     this.viewParts.relay.stop();
     // A server that stays keeps its grants, and the next run of this daemon goes on with them.
@@ -325,6 +340,7 @@
       registry,
       platform: this.platform,
       isReady: () => this.isReady(),
+      isBehind: () => this.loop.isBehind(),
       operators: {store, view, takeover, status, report},
       peers: this.getPeerServiceParts(),
       observe: (exchange, result) => {
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -40,6 +40,8 @@
   readonly platform: HostPlatform | undefined;
   /** Tells whether callers are served here. */
   readonly isReady: () => boolean;
+  /** Tells whether this daemon is too late with its work to begin more. */
+  readonly isBehind: () => boolean;
 }
 
 /** Listeners that are open. */
@@ -104,6 +106,7 @@
     platform.protocol,
     () => platform.getOrigin(),
     () => operators.view.getManifest(),
+    parts.isBehind,
   );
 }
 
--- a/packages/daemon/src/load_book.ts
+++ b/packages/daemon/src/load_book.ts
@@ -5,7 +5,7 @@
  */
 import {formatMember} from '@dottereldrift/core/member.js';
 import type {System} from '@dottereldrift/core/system.js';
-import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {HostName, Member, ServiceName} from '@dottereldrift/core/types.js';
 import {
   applyReports,
   EMPTY_PROFILE,
@@ -34,12 +34,17 @@
   );
 }
 
+/** Ratio of two steps of capacities: what differs less is taken for noise of service times. */
+const CAPACITY_STEP = 1.2;
+
 interface ServiceBook {
   readonly startedAtMs: number;
   askedAtMs: number;
   profile: LoadProfile;
   readonly pending: Map<string, LoadReport>;
   readonly reporters: Set<string>;
+  /** Capacities that owners reported last. */
+  readonly capacities: Map<HostName, number>;
 }
 
 /** Keeps the reports of owners. */
@@ -53,9 +58,30 @@
     const book = this.getBook(report.service);
     const owner = formatMember(report.owner);
     book.pending.set(owner, report);
+    if (report.capacity !== undefined)
+      book.capacities.set(report.owner.host, report.capacity);
     book.reporters.add(owner);
   }
 
+  /**
+   * Returns what each owner's server can run, in requests a second, in steps, so that small changes
+   * move no keys; undefined while none
+   * has said so. One that has not counts as the mean.
+   */
+  readCapacities(
+    service: ServiceName,
+    owners: readonly Member[],
+  ): ReadonlyMap<HostName, number> | undefined {
+    const known = this.books.get(service)?.capacities;
+    if (known === undefined || known.size === 0) return undefined;
+    const sum = [...known.values()].reduce((total, one) => total + one, 0);
+    const mean = sum / known.size;
+    const capacities = new Map<HostName, number>();
+    for (const {host} of owners)
+      capacities.set(host, roundCapacity(known.get(host) ?? mean));
+    return capacities;
+  }
+
   /** Returns the load of a service, or undefined while it is not known. */
   readProfile(
     service: ServiceName,
@@ -98,8 +124,15 @@
       profile: EMPTY_PROFILE,
       pending: new Map<string, LoadReport>(),
       reporters: new Set<string>(),
+      capacities: new Map<HostName, number>(),
     };
     this.books.set(service, book);
     return book;
   }
 }
+
+/** Returns the nearest step; each is a fifth above the one before. */
+function roundCapacity(capacity: number): number {
+  const step = Math.round(Math.log(capacity) / Math.log(CAPACITY_STEP));
+  return CAPACITY_STEP ** step;
+}
--- a/packages/daemon/src/load_codec.ts
+++ b/packages/daemon/src/load_codec.ts
@@ -23,6 +23,7 @@
     restDensity: report.restDensity,
     hotPositions: hotPositions.map(hot => hot.position),
     hotRates: hotPositions.map(hot => hot.rate),
+    capacity: report.capacity ?? 0,
   });
 }
 
@@ -42,6 +43,7 @@
       position,
       rate: parseRate(message.hotRates[index]),
     })),
+    ...(parseRate(message.capacity) > 0 ? {capacity: message.capacity} : {}),
   };
 }
 
--- a/packages/daemon/src/load_reporter.ts
+++ b/packages/daemon/src/load_reporter.ts
@@ -39,6 +39,10 @@
     private readonly book: LoadBook,
     private readonly getSelf: () => Member,
     private readonly log: Log,
+    /** Returns what the server of a service here can run, in requests a second. */
+    private readonly getCapacity: (
+      service: ServiceName,
+    ) => number | undefined = () => undefined,
   ) {}
 
   /** Counts a request that was admitted to a slice, given by its start. */
@@ -100,7 +104,10 @@
     } else {
       state.idleReports = 0;
     }
-    await this.sendReport(report);
+    const capacity = this.getCapacity(service);
+    await this.sendReport(
+      capacity === undefined ? report : {...report, capacity},
+    );
   }
 
   private async sendReport(report: LoadReport): Promise<void> {
--- a/packages/daemon/src/placement_planner.ts
+++ b/packages/daemon/src/placement_planner.ts
@@ -55,6 +55,8 @@
   }
 
   private readWeights(input: PlannerInput): ReadonlyMap<HostName, number> {
+    const capacities = this.book.readCapacities(input.service, input.eligible);
+    if (capacities !== undefined) return capacities;
     const weights = new Map<HostName, number>();
     for (const {host} of input.eligible) {
       const servers = this.view.getSession(host)?.session.servers ?? [];
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -44,6 +44,9 @@
   result: AttemptResult,
 ) => void;
 
+const UNAVAILABLE = 503;
+/** Time after which a daemon that cannot begin a request may be able to, in milliseconds. */
+const UNAVAILABLE_RETRY_AFTER_MS = 300;
 const KEEP_ALIVE_MS = 65_000;
 const REQUEST_HEAD_TIMEOUT_MS = 10_000;
 /** Time in which a whole request must have come in. */
@@ -182,7 +185,7 @@
       status,
       outcome: 'not-run',
       message,
-      retryAfterMs: 0,
+      retryAfterMs: status === UNAVAILABLE ? UNAVAILABLE_RETRY_AFTER_MS : 0,
       isLast: !request.complete,
     });
     return;
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -76,6 +76,8 @@
     /** Service whose requests and callers are on this host. */
     private readonly getOrigin: () => ServiceName,
     private readonly getAccepted: () => AcceptedManifest | undefined,
+    /** Tells whether this daemon is too late with its work to begin more. */
+    private readonly isBehind: () => boolean = () => false,
   ) {}
 
   /** Checks a caller's request and reads as much of its body as is kept for retries. */
@@ -99,6 +101,8 @@
     response: ServerResponse,
     selected: E.Either<BadRequest, Selected>,
   ): Promise<E.Either<BadRequest, Exchange>> {
+    if (this.isBehind())
+      return E.left({status: 503, message: createMessage('DD3034')});
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
     const abandonment = watchAbandonment(request, response);
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -89,6 +89,8 @@
   private follows: readonly Incarnation[] = [];
   private earlierServers: readonly ServerInfo[] = [];
   private isFirstMember = true;
+  /** Whether this member has held its lease, so that grants of it may be in force. */
+  private hasHeld = false;
   private readonly rejoinListeners: Array<() => void> = [];
   private readonly renewalListeners: Array<() => void> = [];
 
@@ -201,6 +203,7 @@
     const sentAt = this.sentAt.get(sequence);
     if (sentAt === undefined || !isSameMember(target, this.member)) return;
     this.lease = applyAnswer(this.lease, witness, sentAt, isFenced);
+    this.hasHeld ||= this.isHeld();
     if (isFencedForGood(this.lease))
       this.joinAgain('its witnesses have fenced it');
     else this.notifyRenewal();
@@ -282,6 +285,7 @@
     const nowMs = this.system.getNow().monotonicMs;
     if (
       present !== undefined &&
+      this.hasHeld &&
       nowMs - this.lastSetChangeMs < SETTLE_DELAY_MS
     ) {
       return present.witnesses;
@@ -331,7 +335,10 @@
         return;
       case 'write':
         this.sendHeartbeats();
-        if (this.writer.inForce !== undefined) await this.waitForBothSets();
+        // Before the first lease there is no grant of this member that a new set could not know of, and
+        // grants of a run that it follows end before a witness that has just seen it takes it for lost.
+        if (this.writer.inForce !== undefined && this.hasHeld)
+          await this.waitForBothSets();
         // Meanwhile this daemon may have become another member.
         if (this.writer.underWay !== effect.write) return;
         return this.writeSession(effect.write);
@@ -407,6 +414,7 @@
       incarnation: this.system.createId(),
     };
     this.isFirstMember = false;
+    this.hasHeld = false;
     this.follows = [];
     this.lease = createLeaseState(this.member, [this.member]);
     this.writer = createWriterState(this.member);
--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -16,6 +16,8 @@
   readonly waitMultiple: number;
   /** Longest time that a request waits, in multiples of its usual service time; 0 for any. */
   readonly dropMultiple: number;
+  /** Serves short work before long work that waits: calls of servers hold a slot elsewhere meanwhile. */
+  readonly isShortFirst: boolean;
   /** Gives callers turns. */
   readonly isFair: boolean;
 }
@@ -30,6 +32,7 @@
   isWeighted: false,
   waitMultiple: 0,
   dropMultiple: 0,
+  isShortFirst: false,
   isFair: false,
 };
 
@@ -41,5 +44,6 @@
   isWeighted: true,
   waitMultiple: 1.5,
   dropMultiple: 2,
+  isShortFirst: true,
   isFair: true,
 };
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -6,6 +6,7 @@
 import type {System} from '@dottereldrift/core/system.js';
 
 import type {AdaptiveOptions} from './adaptive_options.js';
+import {CapacityMeter} from './capacity_meter.js';
 import {ArrivalOrder, type KindOrder, WeightedOrder} from './kind_order.js';
 import {
   createKindState,
@@ -33,6 +34,7 @@
   private readonly running = new Set<RunningRequest>();
   private readonly order: KindOrder;
   private readonly estimator: WaitEstimator;
+  private readonly meter = new CapacityMeter();
   private isStarting = false;
   private isSweeping = false;
 
@@ -75,6 +77,10 @@
     return this.running.size;
   }
 
+  getCapacity(): number | undefined {
+    return this.meter.getCapacity(this.slots);
+  }
+
   /** Bytes of the requests that wait. */
   getQueuedBytes(): number {
     return this.queue.getBytes();
@@ -155,8 +161,11 @@
     if (!this.running.delete(running)) return;
     const {kind, startedAtMs} = running;
     kind.running -= 1;
-    if (isServed)
-      kind.estimate.observe(this.system.getNow().monotonicMs - startedAtMs);
+    if (isServed) {
+      const servedMs = this.system.getNow().monotonicMs - startedAtMs;
+      kind.estimate.observe(servedMs);
+      this.meter.observe(servedMs);
+    }
     this.startWaiting();
   }
 
@@ -182,13 +191,16 @@
   }
 
   private chooseKind(nowMs: number): KindState | undefined {
-    if (this.hasLongSlot(nowMs))
+    const hasLongSlot = this.hasLongSlot(nowMs);
+    if (hasLongSlot && !this.options.isShortFirst)
       return this.order.choose(this.queue.getKinds());
     const shortestMs = this.getShortestMs();
     const short = [...this.queue.getKinds()].filter(
       kind => !isLongKind(kind, shortestMs),
     );
-    return this.order.choose(short);
+    const chosen = this.order.choose(short);
+    if (chosen !== undefined || !hasLongSlot) return chosen;
+    return this.order.choose(this.queue.getKinds());
   }
 
   private mayStart(kind: KindState, nowMs: number): boolean {
--- a/packages/limits/src/fifo_policy.ts
+++ b/packages/limits/src/fifo_policy.ts
@@ -48,6 +48,10 @@
     return this.running;
   }
 
+  getCapacity(): number | undefined {
+    return undefined;
+  }
+
   refuseAll(code: MessageCode): void {
     const refused = this.queue;
     this.queue = [];
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -43,6 +43,8 @@
   getQueued(): number;
   /** Requests that run. */
   getRunning(): number;
+  /** Requests a second that the slots can run; undefined until service times were observed. */
+  getCapacity(): number | undefined;
   /** Refuses everything that waits, with the reason given. */
   refuseAll(code: MessageCode): void;
 }
--- a/packages/ownership/src/load_types.ts
+++ b/packages/ownership/src/load_types.ts
@@ -34,6 +34,8 @@
   /** Rate of each position of the covered slices that are not listed. */
   readonly restDensity: number;
   readonly hotPositions: readonly PositionRate[];
+  /** Requests a second that the owner's server can run; absent while it is not known. */
+  readonly capacity?: number;
 }
 
 /** Load of a service over the ring: even rates of segments, and hot positions on top. */
--- a/packages/routing/src/attempt_end.ts
+++ b/packages/routing/src/attempt_end.ts
@@ -14,6 +14,7 @@
   'DD3011',
   'DD3012',
   'DD3025',
+  'DD3034',
 ]);
 
 /** Failures that name a fault of the host, its server, or the way there. */
--- a/packages/routing/src/retry.ts
+++ b/packages/routing/src/retry.ts
@@ -52,6 +52,7 @@
   'DD3021',
   'DD3024',
   'DD3025',
+  'DD3034',
 ]);
 
 /**
