--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,8 +44,14 @@
     rules: {'project/word': 'off', 'project/wire-name': 'off'},
   },
   {
-    files: ['scripts/**/*.mjs', '*.mjs', '*.js'],
+    files: ['scripts/**/*.mjs', 'scripts/**/*.cjs', '*.mjs', '*.js'],
     rules: {'n/no-unpublished-import': 'off', 'n/no-extraneous-import': 'off'},
-    languageOptions: {globals: {process: 'readonly'}},
+    languageOptions: {
+      globals: {
+        process: 'readonly',
+        __dirname: 'readonly',
+        setTimeout: 'readonly',
+      },
+    },
   },
 ];
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -40,6 +40,7 @@
 import {PlacementPlanner} from './placement_planner.js';
 import {LEAVING_ADMISSION_MS, ServerRegistry} from './server_registry.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
+import {RequestLog} from './request_log.js';
 import type {Settings} from './settings.js';
 import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
@@ -108,6 +109,7 @@
   private readonly loadBook: LoadBook;
   private readonly loadReporter: LoadReporter;
   private readonly report: BurnReport;
+  private readonly requestLog: RequestLog;
   private readonly status: StatusReader;
   private readonly gauges: GaugeReporter;
   /** Present where the configuration is read from a platform's own object. */
@@ -219,6 +221,16 @@
         this.log.createPart('configuration'),
       );
     this.report = new BurnReport(system);
+    this.requestLog = new RequestLog(
+      system,
+      this.log.createPart('request'),
+      service => ({
+        configuration: this.view.getManifest()?.generation ?? 0,
+        assignment:
+          this.view.getAssignment(service)?.assignment.generation ?? 0,
+        storeSilenceMs: this.view.getSilenceMs(),
+      }),
+    );
     this.loadBook = new LoadBook(system);
     this.loadReporter = new LoadReporter(
       system,
@@ -430,6 +442,7 @@
 
   private observe(exchange: Exchange, result: AttemptResult): void {
     this.report.observe(exchange, result);
+    this.requestLog.observe(exchange, result);
     const outcome =
       result.kind === 'answered' ? 'completed' : result.failure.outcome;
     const tags = {
--- a/packages/daemon/src/load_book.ts
+++ b/packages/daemon/src/load_book.ts
@@ -78,7 +78,7 @@
     const mean = sum / known.size;
     const capacities = new Map<HostName, number>();
     for (const {host} of owners)
-      capacities.set(host, roundCapacity(known.get(host) ?? mean));
+      capacities.set(host, getCapacityStep(known.get(host) ?? mean));
     return capacities;
   }
 
@@ -132,7 +132,7 @@
 }
 
 /** Returns the nearest step; each is a fifth above the one before. */
-function roundCapacity(capacity: number): number {
+function getCapacityStep(capacity: number): number {
   const step = Math.round(Math.log(capacity) / Math.log(CAPACITY_STEP));
   return CAPACITY_STEP ** step;
 }
--- a/packages/routing/src/retry.ts
+++ b/packages/routing/src/retry.ts
@@ -56,8 +56,8 @@
 ]);
 
 /**
- * Tells whether a request that any host may run is worth offering to another host at once. No backend
- * server has seen it, so the offer costs a call between daemons and nothing of the retry budget.
+ * Tells whether a request that any host may run is worth offering to another host at once. No server
+ * has seen it, so the offer costs a call between daemons and nothing of the retry budget.
  */
 export function isWorthElsewhere({outcome, code}: AttemptFailure): boolean {
   return outcome === 'not-run' && ELSEWHERE_CODES.has(code);
--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -1,5 +1,6 @@
 /** Bundles the program from its sources into target/, for a platform that builds it itself. */
-import {existsSync} from 'node:fs';
+import {execFileSync} from 'node:child_process';
+import {copyFileSync, existsSync, mkdirSync} from 'node:fs';
 
 import {build} from 'esbuild';
 
@@ -15,9 +16,13 @@
   },
 };
 
+/** Flags of the run command in deploy/system.toml; compiled code fits no others. */
+const FLAGS = ['--max-old-space-size=160'];
+
+mkdirSync('target', {recursive: true});
 await build({
   entryPoints: ['packages/cli/src/main.ts'],
-  outfile: 'target/dottereldrift.cjs',
+  outfile: 'target/program.cjs',
   bundle: true,
   minify: true,
   keepNames: true,
@@ -28,3 +33,9 @@
   plugins: [workspace],
   logLevel: 'warning',
 });
+copyFileSync('scripts/launch.cjs', 'target/dottereldrift.cjs');
+execFileSync(
+  process.execPath,
+  [...FLAGS, 'target/dottereldrift.cjs', '--version'],
+  {env: {...process.env, KEEP_CODE: '1'}},
+);
