Keep one copy of what a lost store call means, and of an attempt at a server

Cause: the two adapters of a store decided alike whether a call can have had an effect, and the owner built two attempts that differ in their protocol only.

--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -31,7 +31,7 @@
   SLICE_HEADER,
   TOKEN_HEADER,
 } from './headers.js';
-import {sendAttempt} from './http_attempt.js';
+import {type Attempt, sendAttempt} from './http_attempt.js';
 import {OnceGuard} from './once_guard.js';
 import {getPosition} from './request_position.js';
 import type {LocalServer, ServerRegistry} from './server_registry.js';
@@ -305,28 +305,18 @@
   }
 
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
-    const {exchange, server, slice} = admitted;
+    const {exchange, server} = admitted;
     const {service} = exchange.target;
     const refusal = this.findLateRefusal(admitted);
     if (refusal !== undefined) return fail(refusal);
     const nowMs = this.system.getNow().monotonicMs;
-    const isKept =
-      exchange.idempotencyKey !== undefined && !exchange.kind.idempotent;
+    const remainingMs = exchange.deadlineAtMs - nowMs;
     const {routed} = exchange;
-    if (routed !== undefined)
-      return this.sendRouted(admitted, routed, exchange.deadlineAtMs - nowMs);
     return sendAttempt(this.system, {
       dispatcher: server.pool,
-      peerName: `the backend server of ${exchange.target.service}`,
+      peerName: `the backend server of ${service}`,
       method: exchange.method,
       path: exchange.target.path,
-      headers: {
-        ...exchange.headers,
-        [REMAINING_HEADER]: String(
-          Math.max(0, Math.round(exchange.deadlineAtMs - nowMs)),
-        ),
-        ...this.createFencingHeaders(service, slice),
-      },
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs,
       deadlineMs: Math.round(
@@ -335,54 +325,30 @@
       abandonment: exchange.abandonment,
       answer: exchange.answer,
       findLateRefusal: () => this.findLateRefusal(admitted),
-      readFailure: readServerRefusal,
-      answerHeaders: createAnswerHeaders(admitted),
-      keepBytes: isKept ? this.limits.keptAnswerBytes : 0,
+      ...(routed === undefined
+        ? this.createOwnTerms(admitted, remainingMs)
+        : createRoutedTerms(admitted, routed, remainingMs)),
     });
   }
 
-  /** Sends a request that a route selected, in the form that its protocol asks for. */
-  private sendRouted(
+  /** Returns what the product's own protocol says to a backend server, and hears from it. */
+  private createOwnTerms(
     admitted: Admitted,
-    routed: RoutedRequest,
     remainingMs: number,
-  ): Promise<AttemptResult> {
-    const {exchange, server} = admitted;
-    const {protocol, requestId, origin, authority} = routed;
-    const {instanceId} = server;
-    return sendAttempt(this.system, {
-      dispatcher: server.pool,
-      peerName: `the backend server of ${exchange.target.service}`,
-      method: exchange.method,
-      path: exchange.target.path,
+  ): AttemptTerms {
+    const {exchange, slice} = admitted;
+    const isKept =
+      exchange.idempotencyKey !== undefined && !exchange.kind.idempotent;
+    return {
       headers: {
         ...exchange.headers,
-        host: authority,
-        ...protocol.createServerHeaders({
-          requestId,
-          origin,
-          instanceId,
-          remainingMs: Math.max(1, Math.floor(remainingMs)),
-        }),
+        [REMAINING_HEADER]: String(Math.max(0, Math.round(remainingMs))),
+        ...this.createFencingHeaders(exchange.target.service, slice),
       },
-      body: exchange.body,
-      giveUpAtMs: exchange.deadlineAtMs,
-      deadlineMs: Math.round(
-        exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
-      ),
-      abandonment: exchange.abandonment,
-      answer: exchange.answer,
-      findLateRefusal: () => this.findLateRefusal(admitted),
-      isForeignAnswer: (status, headers) =>
-        protocol.isForeignAnswer(status, headers, requestId),
-      mayEndWithConnection: true,
-      readFailure: (status, headers) =>
-        protocol.isServerRefusal(status, headers)
-          ? refuse('DD3010', SHORT_RETRY_MS)
-          : undefined,
-      answerHeaders: {[OUTCOME_HEADER]: 'completed'},
-      keepBytes: 0,
-    });
+      readFailure: readServerRefusal,
+      answerHeaders: createAnswerHeaders(admitted),
+      keepBytes: isKept ? this.limits.keptAnswerBytes : 0,
+    };
   }
 
   /**
@@ -436,6 +402,47 @@
   }
 }
 
+/** The parts of an attempt that depend on the protocol of the backend server. */
+type AttemptTerms = Pick<
+  Attempt,
+  | 'headers'
+  | 'readFailure'
+  | 'answerHeaders'
+  | 'keepBytes'
+  | 'isForeignAnswer'
+  | 'mayEndWithConnection'
+>;
+
+/** Returns what the protocol of a routed request says to a backend server, and hears from it. */
+function createRoutedTerms(
+  {exchange, server: {instanceId}}: Admitted,
+  {protocol, requestId, origin, authority}: RoutedRequest,
+  remaining: number,
+): AttemptTerms {
+  const remainingMs = Math.max(1, Math.floor(remaining));
+  return {
+    headers: {
+      ...exchange.headers,
+      host: authority,
+      ...protocol.createServerHeaders({
+        requestId,
+        origin,
+        instanceId,
+        remainingMs,
+      }),
+    },
+    isForeignAnswer: (status, headers) =>
+      protocol.isForeignAnswer(status, headers, requestId),
+    mayEndWithConnection: true,
+    readFailure: (status, headers) =>
+      protocol.isServerRefusal(status, headers)
+        ? refuse('DD3010', SHORT_RETRY_MS)
+        : undefined,
+    answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+    keepBytes: 0,
+  };
+}
+
 /** Counts a request that needs a slice; the returned function ends it. */
 function startInGate(admitted: Admitted): () => void {
   const {slice, position, state} = admitted;
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -19,6 +19,7 @@
 import {ACCEPTED_MANIFEST_KEY} from '@dottereldrift/daemon/store_view.js';
 import {checkValue, formatFault} from '@dottereldrift/manifest/check.js';
 import type {CallBudget} from '@dottereldrift/store/call_budget.js';
+import {createCallFailure} from '@dottereldrift/store/call_failure.js';
 import type {
   ListAnswer,
   ObjectChange,
@@ -52,14 +53,6 @@
 const NOT_FOUND = 404;
 const TOO_MANY = 429;
 const UNAVAILABLE = 503;
-/** Errors of undici that are raised before anything is sent. */
-const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -278,7 +271,8 @@
       this.recordReached(method);
       return E.right({status: answer.statusCode, body: parseJson(text)});
     } catch (error) {
-      return E.left(this.createCallFailure(method, error));
+      this.recordLost(method, error);
+      return E.left(createCallFailure(method === 'GET', error));
     }
   }
 
@@ -288,17 +282,11 @@
     this.log.writeInfo('The store answers again.', {method});
   }
 
-  private createCallFailure(method: Method, error: unknown): StoreFailure {
-    const code = String((error as {readonly code?: unknown}).code ?? '');
+  private recordLost(method: Method, error: unknown): void {
     const reason = getErrorText(error);
     if (this.lastRefused === '')
       this.log.writeWarning('The store does not answer.', {method, reason});
     this.lastRefused = reason;
-    if (method === 'GET' || UNSENT_ERROR_CODES.has(code)) {
-      const text = formatMessage('DD2001', {reason});
-      return {kind: 'unavailable', text};
-    }
-    return {kind: 'unknown', text: formatMessage('DD2002')};
   }
 }
 
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -11,6 +11,7 @@
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 
 import type {CallBudget} from './call_budget.js';
+import {createCallFailure} from './call_failure.js';
 import type {
   ListAnswer,
   ObjectChange,
@@ -33,14 +34,6 @@
 const MAX_READ_ATTEMPTS = 3;
 const FIRST_RETRY_DELAY_MS = 50;
 
-/** Errors of undici that are raised before anything is sent. */
-const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 interface Reply {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -218,23 +211,11 @@
         body,
       });
     } catch (error) {
-      return E.left(createFailure(call, error));
+      return E.left(createCallFailure(call.method === 'GET', error));
     }
   }
 }
 
-function createFailure(call: Call, error: unknown): StoreFailure {
-  const code = String((error as {readonly code?: unknown}).code ?? '');
-  const isUnsent = UNSENT_ERROR_CODES.has(code);
-  if (call.method === 'GET' || isUnsent) {
-    return {
-      kind: 'unavailable',
-      text: formatMessage('DD2001', {reason: getErrorText(error)}),
-    };
-  }
-  return {kind: 'unknown', text: formatMessage('DD2002')};
-}
-
 function parseFailure(reply: Reply, expected = 0): StoreFailure {
   if (reply.status === 409) {
     const found = parseVersion(reply);
--- a/scripts/lint_rules.mjs
+++ b/scripts/lint_rules.mjs
@@ -64,7 +64,7 @@
 
 /** Names that only the platform's messages have; packages/platform/ translates them. */
 const WIRE_NAMES =
-  /server-seal|shard-key|expect-instance|beat_addr|hold_ms|hold_max_ms|res_type|path_prefix|cold_left_ms|store_revision|app_addr/i;
+  /[Ss]erver-[Ss]eal|[Ss]hard-[Kk]ey|[Ee]xpect-[Ii]nstance|beat_addr|hold_ms|hold_max_ms|res_type|path_prefix|cold_left_ms|store_revision|app_addr/;
 
 const wireNameRule = {
   meta: {type: 'problem', schema: []},
