--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -59,7 +59,7 @@
     {isAnswering: true, leavingAdmissionMs: ADMISSION_MS, maxHoldMs: 10_000},
   );
 
-  beat(change: Partial<ServerHeartbeat> & {isLeaving?: boolean} = {}) {
+  sendHeartbeat(change: Partial<ServerHeartbeat> & {isLeaving?: boolean} = {}) {
     const {isLeaving = false, ...rest} = change;
     const instanceId = rest.instanceId ?? 'i-1';
     const bornAtMs = rest.bornAtMs ?? BORN_MS;
@@ -96,19 +96,19 @@
 
 test('a heartbeat that was overtaken, or that an earlier life sent, changes nothing', t => {
   const bench = new Bench();
-  t.not(bench.beat({sequence: 4}), 'stale');
-  t.is(bench.beat({sequence: 4, isLeaving: true}), 'stale');
-  t.is(bench.beat({sequence: 3, isLeaving: true}), 'stale');
+  t.not(bench.sendHeartbeat({sequence: 4}), 'stale');
+  t.is(bench.sendHeartbeat({sequence: 4, isLeaving: true}), 'stale');
+  t.is(bench.sendHeartbeat({sequence: 3, isLeaving: true}), 'stale');
   const old = {instanceId: 'i-0', bornAtMs: BORN_MS - 1, sequence: 99};
-  t.is(bench.beat(old), 'stale');
+  t.is(bench.sendHeartbeat(old), 'stale');
   t.true(bench.registry.isAccepting(SERVICE));
-  t.not(bench.beat({sequence: 1, bornAtMs: BORN_MS + 1}), 'stale');
+  t.not(bench.sendHeartbeat({sequence: 1, bornAtMs: BORN_MS + 1}), 'stale');
 });
 
 test('the life that an earlier run of the daemon knew keeps its tokens', t => {
   const bench = new Bench();
   bench.earlier = [createEarlier(`i-1/${BORN_MS}`, 3)];
-  const granted = bench.beat();
+  const granted = bench.sendHeartbeat();
   t.is(bench.published[0]?.voidToken, 3);
   t.is(granted !== 'stale' && granted?.keys.length, 1);
 });
@@ -116,7 +116,7 @@
 test('a life that is not known gets no slice under a token that was given before it', t => {
   const bench = new Bench();
   bench.earlier = [createEarlier('i-0/1', 3)];
-  const granted = bench.beat();
+  const granted = bench.sendHeartbeat();
   t.is(bench.published[0]?.voidToken, ASSIGNMENT.generation);
   t.is(granted !== 'stale' && granted?.keys.length, 0);
 });
@@ -124,39 +124,39 @@
 test('nothing is granted or taken away before this daemon knows what ran here, or may grant', t => {
   const bench = new Bench();
   bench.isJoined = false;
-  t.is(bench.beat({sequence: 1}), undefined);
+  t.is(bench.sendHeartbeat({sequence: 1}), undefined);
   bench.isJoined = true;
   bench.registry.start();
   bench.mayGrant = false;
-  t.is(bench.beat({sequence: 2}), undefined);
+  t.is(bench.sendHeartbeat({sequence: 2}), undefined);
   bench.mayGrant = true;
-  t.not(bench.beat({sequence: 3}), undefined);
+  t.not(bench.sendHeartbeat({sequence: 3}), undefined);
 });
 
 test('a new life is granted nothing until the grants of the life before have ended', t => {
   const bench = new Bench();
   bench.earlier = [createEarlier(`i-1/${BORN_MS}`, 0)];
-  t.not(bench.beat(), undefined);
+  t.not(bench.sendHeartbeat(), undefined);
   const next = {instanceId: 'i-2', bornAtMs: BORN_MS + 1};
-  t.is(bench.beat(next), undefined);
+  t.is(bench.sendHeartbeat(next), undefined);
   bench.system.shift(LEASE_MS);
-  t.not(bench.beat({...next, sequence: 2}), undefined);
+  t.not(bench.sendHeartbeat({...next, sequence: 2}), undefined);
   t.is(bench.published[0]?.voidToken, ASSIGNMENT.generation);
 });
 
 test('a server that says that it ends gets work for the time allowed, and may end with its heartbeats going on', t => {
   const bench = new Bench();
-  bench.beat();
+  bench.sendHeartbeat();
   bench.registry.receiveLeave('i-1');
   t.true(bench.registry.isAccepting(SERVICE));
   bench.system.shift(ADMISSION_MS);
-  bench.beat({sequence: 2});
+  bench.sendHeartbeat({sequence: 2});
   t.false(bench.registry.isAccepting(SERVICE));
   t.false(bench.registry.hasStayingServer());
 });
 
 test('a server that leaves when it is first heard gets no work: its leave may have been acknowledged before', t => {
   const bench = new Bench();
-  bench.beat({isLeaving: true});
+  bench.sendHeartbeat({isLeaving: true});
   t.false(bench.registry.isAccepting(SERVICE));
 });
