Take a reset for a cut answer, survive library assertions, notice a suspension

One daemon ended with a failed assertion of a library. Requests were sent on 1.1 s after their callers had left (GONE, 45): a daemon that was held up ran what had waited in its sockets; the lag was read from the clock that stands still while a host is suspended.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -12,7 +12,10 @@
 import {readSettings} from '@dottereldrift/daemon/settings.js';
 import {checkManifest, formatFault} from '@dottereldrift/manifest/check.js';
 import type {Fault, ManifestStatus} from '@dottereldrift/manifest/types.js';
-import {createPlatformDaemon} from '@dottereldrift/platform/host_platform.js';
+import {
+  createPlatformDaemon,
+  type PlatformDaemon,
+} from '@dottereldrift/platform/host_platform.js';
 import {
   readPlatformSettings,
   SETTINGS_VARIABLE,
@@ -232,11 +235,24 @@
   }
   const daemon = await createPlatformDaemon(path, settings.right);
   stopOnSignal(daemon);
+  surviveLibraryDefects(daemon);
   process.on('SIGHUP', () => {
     daemon.reload();
   });
 }
 
+/**
+ * Goes on after an assertion of a library that fails in a callback of a socket. The request that it
+ * belongs to gets no answer by its deadline, and so is told unknown; to end would cut off all others.
+ */
+function surviveLibraryDefects(daemon: PlatformDaemon): void {
+  process.on('uncaughtException', error => {
+    const {code} = error as {readonly code?: unknown};
+    daemon.writeDefect(error);
+    if (code !== 'ERR_ASSERTION') process.exit(EXIT_FAILED);
+  });
+}
+
 /** Stops a daemon at the first signal to end, and then ends the process. */
 function stopOnSignal(daemon: Daemon): void {
   let isStopping = false;
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -13,18 +13,22 @@
 /** Watches the event loop. */
 export class LoopMonitor {
   private lastTickMs: number;
+  private lastTickWallMs: number;
   private lagMs = 0;
   private cancel: () => void = () => {};
 
   constructor(private readonly system: System) {
-    this.lastTickMs = system.getNow().monotonicMs;
+    const now = system.getNow();
+    this.lastTickMs = now.monotonicMs;
+    this.lastTickWallMs = now.wallMs;
   }
 
   start(): void {
-    this.lastTickMs = this.system.getNow().monotonicMs;
+    const now = this.system.getNow();
+    this.lastTickMs = now.monotonicMs;
+    this.lastTickWallMs = now.wallMs;
     this.cancel = this.system.startTimer(INTERVAL_MS, () => {
-      const nowMs = this.system.getNow().monotonicMs;
-      this.lagMs = Math.max(0, nowMs - this.lastTickMs - INTERVAL_MS);
+      this.lagMs = this.computeLagMs();
       this.start();
     });
   }
@@ -35,7 +39,16 @@
 
   /** Tells whether requests that are read now have waited too long to be begun. */
   isBehind(): boolean {
-    const sinceMs = this.system.getNow().monotonicMs - this.lastTickMs;
-    return Math.max(this.lagMs, sinceMs - INTERVAL_MS) > MAX_LAG_MS;
+    return Math.max(this.lagMs, this.computeLagMs()) > MAX_LAG_MS;
+  }
+
+  /** The monotonic clock stands still while the host is suspended, the clock of the day does not. */
+  private computeLagMs(): number {
+    const now = this.system.getNow();
+    const sinceMs = Math.max(
+      now.monotonicMs - this.lastTickMs,
+      now.wallMs - this.lastTickWallMs,
+    );
+    return Math.max(0, sinceMs - INTERVAL_MS);
   }
 }
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -25,6 +25,7 @@
   type HoldReport,
 } from './answered_grants.js';
 import type {GrantBook, GrantSource} from './grant_book.js';
+import {createConnector} from './connector.js';
 import {GrantSender} from './grant_sender.js';
 import type {SessionKeeper} from './session_keeper.js';
 
@@ -522,7 +523,7 @@
   return new Pool(formatUrl(info.address), {
     connections: Math.max(1, info.connections - 1),
     pipelining: 1,
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createConnector(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
--- /dev/null
+++ b/packages/daemon/test/loop_monitor.test.ts
@@ -0,0 +1,32 @@
+/**
+ * Tests of how a daemon notices that it is behind with its work.
+ */
+import test from 'ava';
+
+import {LoopMonitor} from '../src/loop_monitor.js';
+import {ManualSystem} from './fakes.js';
+
+const TICK_MS = 50;
+
+test('a process that was held up begins nothing until it has caught up', t => {
+  const system = new ManualSystem();
+  const monitor = new LoopMonitor(system);
+  monitor.start();
+  system.shift(TICK_MS);
+  t.false(monitor.isBehind());
+  system.shift(TICK_MS * 4);
+  t.true(monitor.isBehind(), 'what is read now has waited');
+  system.shift(TICK_MS);
+  t.false(monitor.isBehind());
+  monitor.stop();
+});
+
+test('a host that was suspended is behind though its monotonic clock stood still', t => {
+  const system = new ManualSystem();
+  const monitor = new LoopMonitor(system);
+  monitor.start();
+  const {monotonicMs, wallMs} = system.now;
+  system.now = {monotonicMs, wallMs: wallMs + 2_000};
+  t.true(monitor.isBehind());
+  monitor.stop();
+});
--- a/packages/platform/src/host_platform.ts
+++ b/packages/platform/src/host_platform.ts
@@ -25,6 +25,8 @@
 export interface PlatformDaemon extends Daemon {
   /** Reads the settings file again. */
   reload(): void;
+  /** Writes an error that no part of the program has handled to the log. */
+  writeDefect(error: Error): void;
 }
 
 /** Creates and starts a daemon on the platform; rejects when an address is taken. */
@@ -50,6 +52,12 @@
       await daemon.stop();
     },
     reload: () => source.reload(),
+    writeDefect: error => {
+      log.writeError('An error was not handled by any part.', {
+        reason: error.message,
+        stack: error.stack ?? '',
+      });
+    },
   };
 }
 
