--- /dev/null
+++ b/packages/daemon/test/routed_listener.test.ts
@@ -0,0 +1,127 @@
+/**
+ * Tests of the listener for routed requests with real sockets.
+ */
+import {once} from 'node:events';
+import {type AddressInfo, connect} from 'node:net';
+
+import test from 'ava';
+
+import {createNodeSystem} from '@dottereldrift/core/system.js';
+import type {
+  AcceptedManifest,
+  RequestKind,
+} from '@dottereldrift/manifest/types.js';
+
+import type {CallerProtocol} from '../src/caller_protocol.js';
+import type {AttemptResult} from '../src/exchange.js';
+import {refuse} from '../src/failures.js';
+import {
+  addRoutedCallerRoutes,
+  createListener,
+} from '../src/request_listener.js';
+import {RoutedExchangeFactory} from '../src/routed_exchange_factory.js';
+import {settingsSchema} from '../src/settings.js';
+
+const WAIT_MS = 100;
+const REQUEST = 'GET /menu/1 HTTP/1.1\r\nhost: shop.example\r\n\r\n';
+const KIND: RequestKind = {
+  name: 'read',
+  match: {},
+  idempotent: true,
+  deadlineMs: 1_000,
+  maxAttempts: 2,
+  priority: 5,
+  expectedServiceMs: 10,
+  objective: 0.99,
+};
+
+const ACCEPTED = {
+  generation: 1,
+  sourceVersion: 1,
+  manifest: {
+    services: {menu: {division: 'none', kinds: []}},
+    routes: [
+      {
+        name: 'menu',
+        host: 'shop.example',
+        pathPrefix: '/menu/',
+        goalMs: 100,
+        kind: KIND,
+        parts: [{service: 'menu', weight: 1}],
+      },
+    ],
+  },
+} as unknown as AcceptedManifest;
+
+const PROTOCOL: CallerProtocol = {
+  parseRequest: () => ({requestId: 'a', deadlineMs: 800, key: undefined}),
+  createServerHeaders: () => ({}),
+  isServerRefusal: () => false,
+  isForeignAnswer: () => false,
+  createProblemHead: () => ({status: 503, headers: {'retry-after': '0.250'}}),
+};
+
+async function openBench(isBehind: boolean) {
+  const address = {ip: '127.0.0.1', port: 1};
+  const {limits} = settingsSchema.parse({
+    host: 'h',
+    dataCentre: 'd',
+    region: 'r',
+    callerAddress: address,
+    peerAddress: address,
+    serverAddress: address,
+    operatorAddress: address,
+    storeUrl: 'http://127.0.0.1:1',
+    peerKey: 'x'.repeat(16),
+    operatorKey: 'x'.repeat(16),
+  });
+  const handled: string[] = [];
+  const factory = new RoutedExchangeFactory(
+    createNodeSystem(),
+    limits,
+    PROTOCOL,
+    () => 'menu',
+    () => ACCEPTED,
+    () => isBehind,
+  );
+  const app = createListener(limits);
+  const handle = (): Promise<AttemptResult> => {
+    handled.push('a');
+    return Promise.resolve({kind: 'failed', failure: refuse('DD3004', 10)});
+  };
+  addRoutedCallerRoutes(app, PROTOCOL, factory, handle, () => {});
+  await app.listen({host: '127.0.0.1', port: 0});
+  const {port} = app.server.address() as AddressInfo;
+  return {app, handled, port};
+}
+
+function waitFor(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+test('a request whose caller has left by the time that it is read is not begun', async t => {
+  const {app, handled, port} = await openBench(false);
+  const socket = connect(port, '127.0.0.1');
+  await once(socket, 'connect');
+  socket.write(REQUEST);
+  socket.destroy();
+  await waitFor(WAIT_MS);
+  t.deepEqual(handled, []);
+  await app.close();
+});
+
+for (const [name, isBehind, expected] of [
+  ['in time', false, ['a']],
+  ['behind', true, []],
+] as const) {
+  test(`a daemon that is ${name} with its work answers at once, with a time to come back`, async t => {
+    const {app, handled, port} = await openBench(isBehind);
+    const socket = connect(port, '127.0.0.1');
+    socket.write(REQUEST);
+    const [chunk] = (await once(socket, 'data')) as [Buffer];
+    t.regex(chunk.toString('latin1'), /^HTTP\/1.1 503 [^]*retry-after: 0.250/);
+    t.deepEqual(handled, [...expected]);
+    socket.destroy();
+    await app.close();
+  });
+}
