See a reset that arrives with the last bytes of an answer without a length

The event loop reports end of stream when it finds the connection hung up after a partial read, so a reset that comes together with the last bytes looks like a plain end. An empty write is refused on a connection that was reset and taken on one that was ended, so the connector asks before it passes an end on. The test with a reset right after the last bytes failed before (answer whole) and passes now. Ruled out: passing such answers on without a length (tried, reverted: nothing is gained once the reset is seen, and the caller loses the framing that shows a cut).

--- a/packages/daemon/src/connector.ts
+++ b/packages/daemon/src/connector.ts
@@ -1,13 +1,17 @@
 /**
- * Opens connections on which a reset is an error, whatever has come before it. The HTTP library takes an
- * answer without a length for whole when its connection is reset; a server that crashed in the middle
- * of such an answer would then seem to have finished it.
+ * Opens connections on which a reset is an error, whatever has come before it. A server that crashes in
+ * the middle of an answer without a length resets its connection, and such an answer must not seem whole.
+ * Two libraries hide the reset: the HTTP library takes a reset after the head of such an answer for its
+ * end, and the event loop reports a reset that it reads together with the last bytes as a plain end.
  */
+import type {Socket} from 'node:net';
+
 import {buildConnector} from 'undici';
 
 const RESET = 'ECONNRESET';
 /** Code that the library gives no such meaning. */
 const BROKEN = 'EPIPE';
+const NO_BYTES = Buffer.alloc(0);
 
 /** Returns a connector with a time limit in milliseconds. */
 export function createConnector(timeoutMs: number): buildConnector.connector {
@@ -15,11 +19,29 @@
   return (options, callback) => {
     connect(options, (...result) => {
       const [, socket] = result;
-      // This listener is added before the library's own, so it sees an error first.
-      socket?.on('error', (error: NodeJS.ErrnoException) => {
-        if (error.code === RESET) error.code = BROKEN;
-      });
+      if (socket !== null) showResets(socket);
       callback(...result);
     });
   };
 }
+
+function showResets(socket: Socket): void {
+  // This listener is added before the library's own, so it sees an error first.
+  socket.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code === RESET) error.code = BROKEN;
+  });
+  const push = socket.push.bind(socket);
+  socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+    if (chunk !== null || !isReset(socket)) return push(chunk, encoding);
+    const reason = new Error('the connection was reset');
+    socket.destroy(Object.assign(reason, {code: BROKEN}));
+    return false;
+  };
+}
+
+/** Tells whether a connection at its end was reset: not even an empty write is taken then. */
+function isReset(socket: Socket): boolean {
+  if (!socket.writable) return false;
+  socket.write(NO_BYTES);
+  return socket.errored !== null;
+}
--- a/packages/daemon/test/http_attempt.test.ts
+++ b/packages/daemon/test/http_attempt.test.ts
@@ -190,11 +190,19 @@
 });
 
 for (const [name, end, expected] of [
-  ['ends', (socket: Socket) => socket.end(), 'answer whole: half'],
+  ['ends', (socket: Socket) => socket.end(), /answer whole: half$/],
   [
     'is reset',
     (socket: Socket) => socket.resetAndDestroy(),
-    'answer cut: half',
+    /answer cut: half$/,
+  ],
+  [
+    'is reset with its last bytes',
+    (socket: Socket) => {
+      socket.write('half');
+      socket.resetAndDestroy();
+    },
+    /answer cut: half(half)?$/,
   ],
 ] as const) {
   test(`an answer without a length, where that is allowed, whose connection ${name}`, async t => {
@@ -216,7 +224,7 @@
       ...bench.createAttempt(pool as Pool),
       mayEndWithConnection: true,
     });
-    t.is(formatResult(result, bench.sink), `answered 200, ${expected}`);
+    t.regex(formatResult(result, bench.sink), expected);
     await pool.destroy();
     await bench.stop();
   });
