Count the slices that there are, in place of a fixed number, in the process tests of ownership

The condition is as strict: the other hosts own every slice that the assignment has. The two tests that were run with it pass; the other tests that use it were not run again.

--- a/packages/bench/test/ownership.process.test.ts
+++ b/packages/bench/test/ownership.process.test.ts
@@ -95,8 +95,8 @@
 /** Waits until the other hosts own every slice. */
 async function waitForTakeover(fleet: Fleet, victim: FleetHost): Promise<void> {
   const others = fleet.hosts.filter(host => host !== victim);
-  const slices = fleet.hosts.length * 16;
   await fleet.waitUntil(async () => {
+    const slices = await countSlices(fleet, others[0] ?? victim);
     const statuses = await Promise.all(
       others.map(host => fleet.getStatus(host)),
     );
@@ -107,6 +107,13 @@
   });
 }
 
+/** Returns how many slices there are: those that are heavy are cut, and cold ones merged. */
+async function countSlices(fleet: Fleet, host: FleetHost): Promise<number> {
+  const answer = await fetch(`${fleet.getCallerUrl(host)}/routes/menu`);
+  const {slices} = (await answer.json()) as {readonly slices: unknown[]};
+  return slices.length;
+}
+
 /** Waits until a host owns slices again. */
 async function waitForReturn(fleet: Fleet, victim: FleetHost): Promise<void> {
   await fleet.waitUntil(async () => {
