--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -3,6 +3,8 @@
  */
 import type {StatsD} from 'hot-shots';
 
+import {getErrorText} from './errors.js';
+import type {Log} from './log.js';
 import type {Address} from './types.js';
 
 /** Labels of a metric. */
@@ -23,9 +25,15 @@
 class StatsdMetrics implements Metrics {
   private client: StatsD | undefined;
   private isClosed = false;
+  private hasFailed = false;
 
-  constructor(target: Address) {
-    void this.open(target);
+  constructor(
+    target: Address,
+    private readonly log: Log,
+  ) {
+    this.open(target).catch((error: unknown) => {
+      this.recordFailure(error);
+    });
   }
 
   addCount(name: string, count: number, tags: MetricTags = {}): void {
@@ -57,9 +65,23 @@
       port,
       prefix: METRIC_PREFIX,
       maxBufferSize: MAX_DATAGRAM_BYTES,
-      errorHandler: () => {},
+      errorHandler: error => {
+        this.recordFailure(error);
+      },
     });
   }
+
+  /** Metrics are sent without an answer, so one line tells as much as one for each of them. */
+  private recordFailure(error: unknown): void {
+    if (this.hasFailed) return;
+    this.hasFailed = true;
+    this.log.writeWarning(
+      'Metrics are not sent; later failures are not logged.',
+      {
+        reason: getErrorText(error),
+      },
+    );
+  }
 }
 
 class NoMetrics implements Metrics {
@@ -70,6 +92,8 @@
 }
 
 /** Creates metrics that are sent to a StatsD address, or dropped when there is none. */
-export function createMetrics(target: Address | undefined): Metrics {
-  return target === undefined ? new NoMetrics() : new StatsdMetrics(target);
+export function createMetrics(target: Address | undefined, log: Log): Metrics {
+  return target === undefined
+    ? new NoMetrics()
+    : new StatsdMetrics(target, log);
 }
--- /dev/null
+++ b/packages/daemon/src/attempt_terms.ts
@@ -0,0 +1,104 @@
+/**
+ * What the owner says to a backend server with a request, and how it reads the answer: in the product's
+ * own protocol or in that of a routed request.
+ */
+import type {SlotRefusal} from '@dottereldrift/limits/types.js';
+import type {AttemptFailure} from '@dottereldrift/routing/types.js';
+
+import type {Admitted} from './admission.js';
+import type {AttemptResult, Exchange, RoutedRequest} from './exchange.js';
+import {refuse, SHORT_RETRY_MS} from './failures.js';
+import {
+  GENERATION_HEADER,
+  getHeader,
+  type HeaderMap,
+  OUTCOME_HEADER,
+  REFUSED_HEADER,
+} from './headers.js';
+import type {Attempt} from './http_attempt.js';
+
+/** The parts of an attempt that depend on the protocol of the backend server. */
+export type AttemptTerms = Pick<
+  Attempt,
+  | 'headers'
+  | 'readFailure'
+  | 'answerHeaders'
+  | 'keepBytes'
+  | 'isForeignAnswer'
+  | 'mayEndWithConnection'
+>;
+
+/** Returns what the protocol of a routed request says to a backend server, and hears from it. */
+export function createRoutedTerms(
+  {exchange, server: {instanceId}}: Admitted,
+  {protocol, requestId, origin, authority}: RoutedRequest,
+  remaining: number,
+): AttemptTerms {
+  const remainingMs = Math.max(1, Math.floor(remaining));
+  return {
+    headers: {
+      ...exchange.headers,
+      host: authority,
+      ...protocol.createServerHeaders({
+        requestId,
+        origin,
+        instanceId,
+        remainingMs,
+      }),
+    },
+    isForeignAnswer: (status, headers) =>
+      protocol.isForeignAnswer(status, headers, requestId),
+    mayEndWithConnection: true,
+    readFailure: (status, headers) =>
+      protocol.isServerRefusal(status, headers)
+        ? refuse('DD3010', SHORT_RETRY_MS)
+        : undefined,
+    answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+    keepBytes: 0,
+  };
+}
+
+/** Tells whether a server that checks no tokens may go on with a request whose answer was lost. */
+export function mayStillRun(
+  exchange: Exchange,
+  result: AttemptResult,
+): boolean {
+  if (exchange.rules.fencing === 'checked') return false;
+  return result.kind === 'answered'
+    ? result.isCut
+    : result.failure.outcome === 'unknown';
+}
+
+/** The generation lets embedded clients see that their routes are old. */
+export function createAnswerHeaders({
+  slice,
+  state,
+}: Admitted): Record<string, string> {
+  const outcome = {[OUTCOME_HEADER]: 'completed'};
+  if (slice === undefined) return outcome;
+  const generation = state.gate.getAssignment()?.generation ?? 0;
+  return {...outcome, [GENERATION_HEADER]: String(generation)};
+}
+
+export function readServerRefusal(
+  _status: number,
+  headers: HeaderMap,
+): AttemptFailure | undefined {
+  if (getHeader(headers, REFUSED_HEADER) !== 'not-run') return undefined;
+  return refuse('DD3010', SHORT_RETRY_MS);
+}
+
+export function createRefusal(
+  exchange: Exchange,
+  refusal: SlotRefusal,
+): AttemptFailure {
+  const deadlineMs = Math.round(
+    exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
+  );
+  const {service} = exchange.target;
+  return refuse(refusal.code, refusal.retryAfterMs, {
+    service,
+    host: 'its owner',
+    deadlineMs,
+  });
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -131,7 +131,9 @@
     const {limits} = settings;
     const {peers} = edges;
     this.loop = new LoopMonitor(system);
-    this.metrics = platform?.metrics ?? createMetrics(settings.statsdAddress);
+    this.metrics =
+      platform?.metrics ??
+      createMetrics(settings.statsdAddress, this.log.createPart('metrics'));
     this.store = new CountingStore(edges.store, this.counters);
     this.view = new StoreView(system, this.log.createPart('store'));
     this.viewParts = createViewParts(
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -44,7 +44,10 @@
 const SHARE_MARGIN = 0.5;
 /** Part of the goal of a routed request for which it waits for a route before it is refused. */
 const ROUTE_WAIT_SHARE = 0.5;
-/** Part of its time for which a routed request waits for its key to arrive at the next owner. */
+/**
+ * Part of its time for which a routed request waits for its key to arrive at the next owner: of the
+ * users' shortest deadline it leaves the usual time of a run.
+ */
 const MOVE_WAIT_SHARE = 0.6;
 /** Time after which a caller whose request found no route may find one, in milliseconds. */
 const ROUTE_RETRY_AFTER_MS = 250;
--- a/packages/daemon/src/failures.ts
+++ b/packages/daemon/src/failures.ts
@@ -11,6 +11,9 @@
 
 import type {AttemptResult} from './exchange.js';
 
+/** Time after which a refusal that passes soon is worth another try: some hops within a data centre. */
+export const SHORT_RETRY_MS = 10;
+
 /** Returns the failure of a request that was certainly not run. */
 export function refuse(
   code: MessageCode,
--- a/packages/daemon/src/load_book.ts
+++ b/packages/daemon/src/load_book.ts
@@ -78,6 +78,11 @@
     return capacities;
   }
 
+  /** Returns what the reports that were read last say of a service, for people. */
+  getProfile(service: ServiceName): LoadProfile {
+    return this.books.get(service)?.profile ?? EMPTY_PROFILE;
+  }
+
   /** Returns the load of a service, or undefined while it is not known. */
   readProfile(
     service: ServiceName,
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -6,7 +6,6 @@
 import type {System} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
 import type {WindowEntry} from '@dottereldrift/limits/idempotency_window.js';
-import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import {SliceGate} from '@dottereldrift/ownership/slice_gate.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
 import {TakeoverWait} from '@dottereldrift/ownership/takeover_wait.js';
@@ -17,53 +16,37 @@
 } from '@dottereldrift/ownership/types.js';
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
-import type {AttemptResult, Exchange, RoutedRequest} from './exchange.js';
-import {createDefect, fail, refuse} from './failures.js';
 import {
-  GENERATION_HEADER,
-  getHeader,
-  type HeaderMap,
+  addToGate,
+  type AdmissionListener,
+  type Admitted,
+  type ServiceState,
+  startInGate,
+} from './admission.js';
+import {
+  type AttemptTerms,
+  createAnswerHeaders,
+  createRefusal,
+  createRoutedTerms,
+  mayStillRun,
+  readServerRefusal,
+} from './attempt_terms.js';
+import type {AttemptResult, Exchange} from './exchange.js';
+import {createDefect, fail, refuse, SHORT_RETRY_MS} from './failures.js';
+import {
   LEASE_END_HEADER,
   LEASE_END_MONOTONIC_HEADER,
-  OUTCOME_HEADER,
-  REFUSED_HEADER,
   REMAINING_HEADER,
   SLICE_HEADER,
   TOKEN_HEADER,
 } from './headers.js';
-import {type Attempt, sendAttempt} from './http_attempt.js';
+import {sendAttempt} from './http_attempt.js';
 import {OnceGuard} from './once_guard.js';
 import {getPosition} from './request_position.js';
-import type {LocalServer, ServerRegistry} from './server_registry.js';
+import type {ServerRegistry} from './server_registry.js';
 import type {SessionKeeper} from './session_keeper.js';
 import type {Limits} from './settings.js';
 
-/** Time after which a refusal that passes soon is worth another try. */
-const SHORT_RETRY_MS = 10;
-
-interface ServiceState {
-  readonly gate: SliceGate;
-  readonly guard: OnceGuard;
-  readonly wait: TakeoverWait;
-}
-
-/** A request that has passed the checks. */
-interface Admitted {
-  readonly exchange: Exchange;
-  readonly server: LocalServer;
-  /** Undefined where no key decides, so that no slice is needed. */
-  readonly slice: Slice | undefined;
-  readonly position: number;
-  readonly state: ServiceState;
-}
-
-/** Called back with each request that is admitted to a slice, given by its start. */
-export type AdmissionListener = (
-  service: ServiceName,
-  start: number,
-  position: number,
-) => void;
-
 /** What an owner needs to know of its session. */
 export type LeaseView = Pick<SessionKeeper, 'isHeld' | 'getMember' | 'getEnd'>;
 
@@ -412,97 +395,3 @@
     return state;
   }
 }
-
-/** The parts of an attempt that depend on the protocol of the backend server. */
-type AttemptTerms = Pick<
-  Attempt,
-  | 'headers'
-  | 'readFailure'
-  | 'answerHeaders'
-  | 'keepBytes'
-  | 'isForeignAnswer'
-  | 'mayEndWithConnection'
->;
-
-/** Returns what the protocol of a routed request says to a backend server, and hears from it. */
-function createRoutedTerms(
-  {exchange, server: {instanceId}}: Admitted,
-  {protocol, requestId, origin, authority}: RoutedRequest,
-  remaining: number,
-): AttemptTerms {
-  const remainingMs = Math.max(1, Math.floor(remaining));
-  return {
-    headers: {
-      ...exchange.headers,
-      host: authority,
-      ...protocol.createServerHeaders({
-        requestId,
-        origin,
-        instanceId,
-        remainingMs,
-      }),
-    },
-    isForeignAnswer: (status, headers) =>
-      protocol.isForeignAnswer(status, headers, requestId),
-    mayEndWithConnection: true,
-    readFailure: (status, headers) =>
-      protocol.isServerRefusal(status, headers)
-        ? refuse('DD3010', SHORT_RETRY_MS)
-        : undefined,
-    answerHeaders: {[OUTCOME_HEADER]: 'completed'},
-    keepBytes: 0,
-  };
-}
-
-/** Counts a request that needs a slice; the returned function ends it. */
-function startInGate(admitted: Admitted): () => void {
-  const {slice, position, state} = admitted;
-  return slice === undefined ? () => {} : state.gate.startRequest(position);
-}
-
-/** Lets a release hand a waiting request back; the returned function forgets it. */
-function addToGate(admitted: Admitted, handBack: () => void): () => void {
-  const {slice, position, state} = admitted;
-  return slice === undefined
-    ? () => {}
-    : state.gate.addWaiting(position, handBack);
-}
-
-/** Tells whether a server that checks no tokens may go on with a request whose answer was lost. */
-function mayStillRun(exchange: Exchange, result: AttemptResult): boolean {
-  if (exchange.rules.fencing === 'checked') return false;
-  return result.kind === 'answered'
-    ? result.isCut
-    : result.failure.outcome === 'unknown';
-}
-
-/** The generation lets embedded clients see that their routes are old. */
-function createAnswerHeaders({slice, state}: Admitted): Record<string, string> {
-  const outcome = {[OUTCOME_HEADER]: 'completed'};
-  if (slice === undefined) return outcome;
-  const generation = state.gate.getAssignment()?.generation ?? 0;
-  return {...outcome, [GENERATION_HEADER]: String(generation)};
-}
-
-function readServerRefusal(
-  _status: number,
-  headers: HeaderMap,
-): AttemptFailure | undefined {
-  if (getHeader(headers, REFUSED_HEADER) !== 'not-run') return undefined;
-  return refuse('DD3010', SHORT_RETRY_MS);
-}
-
-function createRefusal(
-  exchange: Exchange,
-  refusal: SlotRefusal,
-): AttemptFailure {
-  const deadlineMs = Math.round(
-    exchange.deadlineAtMs - exchange.receivedAt.monotonicMs,
-  );
-  const {service} = exchange.target;
-  return refuse(refusal.code, refusal.retryAfterMs, {
-    service,
-    host: 'its owner',
-    deadlineMs,
-  });
-}
--- a/packages/daemon/src/placement_planner.ts
+++ b/packages/daemon/src/placement_planner.ts
@@ -81,8 +81,8 @@
     assignment: Assignment,
   ): Record<string, string | number | boolean> {
     const {service, generation, slices} = assignment;
-    const profile = this.book.readProfile(service, assignment);
-    const rates = computeSliceRates(profile ?? EMPTY_PROFILE, slices);
+    const profile = this.book.getProfile(service);
+    const rates = computeSliceRates(profile, slices);
     const owners = new Map<HostName, OwnerSummary>();
     slices.forEach(({owner, nextOwner}, index) => {
       const host = owner?.host ?? 'none';
@@ -100,7 +100,7 @@
     return {
       service,
       generation,
-      isLoadKnown: profile !== undefined,
+      isLoadKnown: profile !== EMPTY_PROFILE,
       owners: [...owners]
         .map(([host, {count, rate, leaving}]) => {
           const capacity = Math.round(capacities?.get(host) ?? 0);
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -113,7 +113,7 @@
     const abandonment = watchAbandonment(request, response);
     const {deadlineMs, ...rest} = selected.right;
     if (await hasLeft(request))
-      return E.left({status: 400, message: createMessage('DD3022')});
+      return E.left({status: 503, message: createMessage('DD3022')});
     const body = await readBody(this.system, this.limits, request, deadlineMs);
     if (E.isLeft(body)) return body;
     return E.right({
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -47,6 +47,7 @@
 const CHECK_INTERVAL_MS = 100;
 /** Longest wait for slices on their way: with a heartbeat each second a grant is still renewed in time. */
 const INCOMING_WAIT_MS = 300;
+/** Time between two looks for them: short beside the hop that brings the assignment. */
 const INCOMING_POLL_MS = 10;
 const CONNECT_TIMEOUT_MS = 500;
 
--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -57,7 +57,9 @@
   isWeighted: true,
   waitMultiple: 1.5,
   dropMultiple: 2,
+  // Some five usual service times of the users: a burst that lasts longer is an overload.
   standingMs: 500,
+  // Goals are two to three usual service times, of which a run takes one.
   standingWaitMultiple: 0.5,
   standingDropMultiple: 1,
   isShortFirst: true,
--- a/packages/ownership/src/load_meter.ts
+++ b/packages/ownership/src/load_meter.ts
@@ -24,9 +24,9 @@
 
 /** Follows load that drifts, with little noise. */
 export const STEADY_PACE: MeterPace = {decayMs: 20_000, settleMs: 5_000};
-/** Most stretches that a report lists. */
+/** Most stretches that a report lists: four slices in parts, and as many notable ones. */
 export const MAX_REPORTED_SEGMENTS = 64;
-/** Share of an owner's load from which a slice is reported in parts, so that it can be cut. */
+/** Share of an owner's load from which a slice is reported in parts: below the one that cuts it. */
 const MIN_DIVIDED_SHARE = 0.08;
 /** Most hot positions that a report lists. */
 export const MAX_REPORTED_POSITIONS = 16;
--- a/packages/ownership/src/reshaping.ts
+++ b/packages/ownership/src/reshaping.ts
@@ -24,10 +24,13 @@
 /** Share of an owner's mean load from which a position gets a slice of its own. */
 export const ISOLATION_SHARE = 0.05;
 
-/** Share of an owner's mean load from which a slice is cut. */
+/** Share of an owner's mean load from which a slice is cut: near the deviation that moves repair. */
 const DIVISION_SHARE = 0.1;
 
-/** Share of an owner's mean load that the pieces of a slice that is cut do not exceed if possible. */
+/**
+ * Share of an owner's mean load that the pieces of a slice that is cut do not exceed if possible: the one
+ * from which a single position is cut out.
+ */
 const PART_SHARE = 0.05;
 
 /** Share of an owner's mean load below which slices are cold. */
