Log the load that refuses a request a slot, and how late the event loop is

Neither log nor metrics said how many slots were in use, so slots that stand idle (hypothesis 1) looked like an owner with too many keys (hypothesis 3), and a late daemon (hypothesis 2) like both.

The owner now writes a line for each refused request with slots, those open to the kind, running and queued; the line of a failed request carries the lag of the event loop; gauges for slots, reserved slots and processor time. Bounded to 20 lines a second by the limit that the line of a request already had, now a class of its own. Nothing that decides is changed.

--- a/packages/daemon/src/admission.ts
+++ b/packages/daemon/src/admission.ts
@@ -2,6 +2,7 @@
  * A request that has passed the owner's checks, and its count at the gate of its slice.
  */
 import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {SliceGate} from '@dottereldrift/ownership/slice_gate.js';
 import type {TakeoverWait} from '@dottereldrift/ownership/takeover_wait.js';
 import type {Slice} from '@dottereldrift/ownership/types.js';
@@ -34,6 +35,12 @@
   position: number,
 ) => void;
 
+/** Called back with each request that finds no slot. */
+export type RefusalListener = (
+  exchange: Exchange,
+  refusal: SlotRefusal,
+) => void;
+
 /** Counts a request that needs a slice; the returned function ends it. */
 export function startInGate(admitted: Admitted): () => void {
   const {slice, position, state} = admitted;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -42,6 +42,7 @@
 import {ServerRegistry} from './server_registry.js';
 import {LEAVING_ADMISSION_MS} from './server_types.js';
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
+import {RefusalLog} from './refusal_log.js';
 import {RequestLog} from './request_log.js';
 import type {Settings} from './settings.js';
 import {type ControlStatus, StatusReader} from './status.js';
@@ -235,6 +236,7 @@
         assignment:
           this.view.getAssignment(service)?.assignment.generation ?? 0,
         storeSilenceMs: this.view.getSilenceMs(),
+        loopLagMs: this.loop.getLagMs(),
       }),
     );
     this.loadBook = new LoadBook(system, settings.loadPace.reportMs);
@@ -251,6 +253,10 @@
     this.owner.addAdmissionListener((service, start, position) => {
       this.loadReporter.addRequest(service, start, position);
     });
+    const refusalLog = new RefusalLog(system, this.log.createPart('slots'));
+    this.owner.addRefusalListener((exchange, refusal) => {
+      refusalLog.observe(exchange, refusal);
+    });
     this.status = new StatusReader(
       system,
       this.view,
--- a/packages/daemon/src/gauge_reporter.ts
+++ b/packages/daemon/src/gauge_reporter.ts
@@ -11,6 +11,7 @@
 const REPORT_INTERVAL_MS = 10_000;
 const LOOP_RESOLUTION_MS = 20;
 const NS_PER_MS = 1e6;
+const US_PER_SECOND = 1e6;
 const TAIL_PERCENTILE = 99;
 
 /** Reports gauges until it is stopped. */
@@ -57,10 +58,14 @@
       metrics.recordGauge('slices.owned', service.ownedSlices, tags);
       metrics.recordGauge('requests.running', service.running, tags);
       metrics.recordGauge('requests.queued', service.queued, tags);
+      metrics.recordGauge('slots.total', service.slots, tags);
+      metrics.recordGauge('slots.reserved', service.reserved, tags);
     }
     const delayNs = this.loopDelay.percentile(TAIL_PERCENTILE);
     metrics.recordGauge('loop.delay_p99_ms', delayNs / NS_PER_MS);
     metrics.recordGauge('memory.rss_bytes', process.memoryUsage().rss);
+    const {user, system} = process.cpuUsage();
+    metrics.recordGauge('processor.seconds', (user + system) / US_PER_SECOND);
     this.loopDelay.reset();
   }
 }
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -39,7 +39,12 @@
 
   /** Tells whether requests that are read now have waited too long to be begun. */
   isBehind(): boolean {
-    return Math.max(this.lagMs, this.computeLagMs()) > MAX_LAG_MS;
+    return this.getLagMs() > MAX_LAG_MS;
+  }
+
+  /** Returns how late this process is with its work, in milliseconds. */
+  getLagMs(): number {
+    return Math.max(this.lagMs, this.computeLagMs());
   }
 
   /** The monotonic clock stands still while the host is suspended, the clock of the day does not. */
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -20,6 +20,7 @@
   addToGate,
   type AdmissionListener,
   type Admitted,
+  type RefusalListener,
   type ServiceState,
   startInGate,
 } from './admission.js';
@@ -63,6 +64,7 @@
   private isClosing = false;
   private running = 0;
   private onAdmission: AdmissionListener = () => {};
+  private onRefusal: RefusalListener = () => {};
 
   constructor(
     private readonly system: System,
@@ -75,6 +77,11 @@
     this.onAdmission = listener;
   }
 
+  /** Calls back for each request that finds no slot. */
+  addRefusalListener(listener: RefusalListener): void {
+    this.onRefusal = listener;
+  }
+
   /** Takes over an assignment. */
   applyAssignment(assignment: Assignment): void {
     const {gate, guard, wait} = this.getState(assignment.service);
@@ -294,6 +301,7 @@
         onRefuse: refusal => {
           forget();
           exchange.abandonment.removeListener(leave);
+          this.onRefusal(exchange, refusal);
           resolve(fail(createRefusal(exchange, refusal)));
         },
       });
--- a/packages/daemon/src/request_log.ts
+++ b/packages/daemon/src/request_log.ts
@@ -7,10 +7,7 @@
 import type {System} from '@dottereldrift/core/system.js';
 
 import type {AttemptResult, Exchange} from './exchange.js';
-
-/** Lines in one second; a burst of refusals must not spend the processor on its own record. */
-const MAX_LINES_PER_SECOND = 20;
-const MS_PER_SECOND = 1_000;
+import {LineLimit} from './line_limit.js';
 
 /** What an entry knew when it decided. */
 export interface RouteKnowledge {
@@ -20,25 +17,27 @@
   readonly assignment: number;
   /** Milliseconds since the store last answered this daemon or its relay. */
   readonly storeSilenceMs: number;
+  /** How late this process is with its work, in milliseconds. */
+  readonly loopLagMs: number;
 }
 
 /** Writes lines of failed requests. */
 export class RequestLog {
-  private secondStartMs = -Infinity;
-  private lines = 0;
-  private leftOut = 0;
+  private readonly limit: LineLimit;
 
   constructor(
     private readonly system: System,
     private readonly log: Log,
     private readonly readKnowledge: (service: string) => RouteKnowledge,
-  ) {}
+  ) {
+    this.limit = new LineLimit(system);
+  }
 
   /** Takes note of how a request ended. */
   observe(exchange: Exchange, result: AttemptResult): void {
     const {routed, target, kind} = exchange;
     if (routed === undefined || result.kind === 'answered') return;
-    if (!this.tryTakeLine()) return;
+    if (!this.limit.tryTakeLine()) return;
     const {outcome, code, text, retryAfterMs, host = ''} = result.failure;
     const nowMs = this.system.getNow().monotonicMs;
     const knowledge = this.readKnowledge(target.service);
@@ -57,27 +56,8 @@
       configuration: knowledge.configuration,
       assignment: knowledge.assignment,
       storeSilenceMs: Math.round(knowledge.storeSilenceMs),
-      leftOut: this.takeLeftOut(),
+      loopLagMs: Math.round(knowledge.loopLagMs),
+      leftOut: this.limit.takeLeftOut(),
     });
   }
-
-  private tryTakeLine(): boolean {
-    const nowMs = this.system.getNow().monotonicMs;
-    if (nowMs - this.secondStartMs >= MS_PER_SECOND) {
-      this.secondStartMs = nowMs;
-      this.lines = 0;
-    }
-    if (this.lines >= MAX_LINES_PER_SECOND) {
-      this.leftOut += 1;
-      return false;
-    }
-    this.lines += 1;
-    return true;
-  }
-
-  private takeLeftOut(): number {
-    const {leftOut} = this;
-    this.leftOut = 0;
-    return leftOut;
-  }
 }
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -21,6 +21,8 @@
   readonly generation: number;
   readonly ownedSlices: number;
   readonly slots: number;
+  /** Slots that long work may not take at present. */
+  readonly reserved: number;
   readonly running: number;
   readonly queued: number;
   readonly isLeaving: boolean;
@@ -93,6 +95,7 @@
       generation: assignment?.generation ?? 0,
       ownedSlices: owned.length,
       slots: server?.info.slots ?? 0,
+      reserved: server?.policy.getReserved() ?? 0,
       running: server?.policy.getRunning() ?? 0,
       queued: server?.policy.getQueued() ?? 0,
       isLeaving: server?.info.isLeaving ?? false,
--- a/packages/daemon/test/request_log.test.ts
+++ b/packages/daemon/test/request_log.test.ts
@@ -7,6 +7,7 @@
 
 import type {Exchange} from '../src/exchange.js';
 import {refuse} from '../src/failures.js';
+import {RefusalLog} from '../src/refusal_log.js';
 import {RequestLog} from '../src/request_log.js';
 import {ManualSystem} from './fakes.js';
 
@@ -33,6 +34,7 @@
     configuration: 7,
     assignment: 3,
     storeSilenceMs: 40,
+    loopLagMs: 12,
   }));
   const exchange = {
     target: {service: 'menu', key: '5', path: '/'},
@@ -50,3 +52,20 @@
   requests.observe(exchange, result);
   t.is(log.lines[MOST_LINES]?.leftOut, BURST - MOST_LINES);
 });
+
+test('a refused request leaves the load that decided; a burst is bounded and counted', t => {
+  const system = new ManualSystem();
+  const log = new RecordingLog();
+  const refusals = new RefusalLog(system, log);
+  const exchange = {
+    target: {service: 'menu', key: '5', path: '/'},
+    kind: {name: 'r-menu'},
+    routed: {requestId: 'abc'},
+    receivedAt: system.getNow(),
+  } as unknown as Exchange;
+  const load = {slots: 6, openSlots: 4, running: 4, queued: 3};
+  for (let request = 0; request < BURST; request++)
+    refusals.observe(exchange, {code: 'DD3011', retryAfterMs: 9.5, load});
+  t.is(log.lines.length, MOST_LINES);
+  t.snapshot(log.lines[0]);
+});
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -55,7 +55,7 @@
     const nowMs = this.system.getNow().monotonicMs;
     const kind = this.getKind(request);
     if (request.deadlineAtMs <= nowMs) {
-      request.onRefuse({code: 'DD3006', retryAfterMs: MIN_RETRY_AFTER_MS});
+      this.refuse(request, kind, 'DD3006', MIN_RETRY_AFTER_MS);
       return () => {};
     }
     this.startWaiting();
@@ -80,6 +80,10 @@
     return this.running.size;
   }
 
+  getReserved(): number {
+    return this.slots - getLongSlots(this.slots, this.options.reservedShare);
+  }
+
   getCapacity(): number | undefined {
     return this.meter.getCapacity(this.slots);
   }
@@ -105,7 +109,7 @@
       this.findTimeRefusal(request, kind, waitMs, nowMs) ??
       this.findSpaceRefusal(request);
     if (code !== undefined) {
-      request.onRefuse({code, retryAfterMs: getRetryAfterMs(waitMs)});
+      this.refuse(request, kind, code, getRetryAfterMs(waitMs));
       return () => {};
     }
     if (kind.waiting.getSize() === 0) this.order.addKind(kind);
@@ -233,7 +237,7 @@
   private hasLongSlot(nowMs: number): boolean {
     const {reservedShare} = this.options;
     if (reservedShare === 0) return true;
-    const longSlots = getLongSlots(this.slots, reservedShare);
+    const longSlots = this.slots - this.getReserved();
     if (this.running.size < longSlots) return true;
     const shortestMs = this.getShortestMs();
     let long = 0;
@@ -256,9 +260,7 @@
     caller: string,
     nowMs: number,
   ): number {
-    const {reservedShare} = this.options;
-    const isLong = reservedShare > 0 && isLongKind(kind, this.getShortestMs());
-    const slots = isLong ? getLongSlots(this.slots, reservedShare) : this.slots;
+    const slots = this.getOpenSlots(kind);
     return this.estimator.computeWaitMs(
       {
         kind,
@@ -271,6 +273,13 @@
     );
   }
 
+  /** Returns the slots that a kind may take. */
+  private getOpenSlots(kind: KindState): number {
+    return isLongKind(kind, this.getShortestMs())
+      ? this.slots - this.getReserved()
+      : this.slots;
+  }
+
   private findDropReason(
     {request, arrivedAtMs}: Waiting,
     kind: KindState,
@@ -336,7 +345,22 @@
 
   private refuseEach(refused: readonly Waiting[], code: MessageCode): void {
     for (const {request} of refused)
-      request.onRefuse({code, retryAfterMs: MIN_RETRY_AFTER_MS});
+      this.refuse(request, this.getKind(request), code, MIN_RETRY_AFTER_MS);
+  }
+
+  private refuse(
+    request: SlotRequest,
+    kind: KindState,
+    code: MessageCode,
+    retryAfterMs: number,
+  ): void {
+    const load = {
+      slots: this.slots,
+      openSlots: this.getOpenSlots(kind),
+      running: this.running.size,
+      queued: this.queue.getSize(),
+    };
+    request.onRefuse({code, retryAfterMs, load});
   }
 
   private getKind(request: SlotRequest): KindState {
--- a/packages/limits/src/fifo_policy.ts
+++ b/packages/limits/src/fifo_policy.ts
@@ -26,7 +26,7 @@
       return () => {};
     }
     if (this.queue.length >= this.getMaxQueued()) {
-      request.onRefuse({code: 'DD3011', retryAfterMs: RETRY_AFTER_MS});
+      this.refuse(request, 'DD3011');
       return () => {};
     }
     this.queue.push(request);
@@ -48,6 +48,10 @@
     return this.running;
   }
 
+  getReserved(): number {
+    return 0;
+  }
+
   getCapacity(): number | undefined {
     return undefined;
   }
@@ -55,8 +59,13 @@
   refuseAll(code: MessageCode): void {
     const refused = this.queue;
     this.queue = [];
-    for (const request of refused)
-      request.onRefuse({code, retryAfterMs: RETRY_AFTER_MS});
+    for (const request of refused) this.refuse(request, code);
+  }
+
+  private refuse(request: SlotRequest, code: MessageCode): void {
+    const {slots, running} = this;
+    const load = {slots, openSlots: slots, running, queued: this.getQueued()};
+    request.onRefuse({code, retryAfterMs: RETRY_AFTER_MS, load});
   }
 
   private startRequest(request: SlotRequest): void {
@@ -76,7 +85,7 @@
       if (next === undefined) return;
       const nowMs = this.system.getNow().monotonicMs;
       if (next.deadlineAtMs <= nowMs) {
-        next.onRefuse({code: 'DD3006', retryAfterMs: RETRY_AFTER_MS});
+        this.refuse(next, 'DD3006');
       } else {
         this.startRequest(next);
       }
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -28,11 +28,21 @@
 /** Ends a slot. `isServed` is false when the service time says nothing about the server. */
 export type SlotFinish = (isServed: boolean) => void;
 
+/** What a policy saw when it refused a request. */
+export interface SlotLoad {
+  readonly slots: number;
+  /** Slots that the kind of the request may take. */
+  readonly openSlots: number;
+  readonly running: number;
+  readonly queued: number;
+}
+
 /** Why a request got no slot. */
 export interface SlotRefusal {
   readonly code: MessageCode;
   /** Time after which another try is worth while. */
   readonly retryAfterMs: number;
+  readonly load: SlotLoad;
 }
 
 /** Gives slots to requests. */
@@ -45,6 +55,8 @@
   getQueued(): number;
   /** Requests that run. */
   getRunning(): number;
+  /** Slots that long work may not take at present. */
+  getReserved(): number;
   /** Requests a second that the slots can run; undefined until service times were observed. */
   getCapacity(): number | undefined;
   /** Refuses everything that waits, with the reason given. */
