Reserve slots by the demand of short work, not by its mere presence

What callers saw: the busiest service of each deployment refused requests with DD3011 (queue full) while its servers had idle slots.

Cause: a third of the slots was kept free of every kind that takes eight times the time of the shortest kind. One answer of 1 ms, as to a request that only tests which configuration is in force, made that kind the shortest for as long as the daemon ran. From then on the normal work of the service counted as long and had 4 of 6 slots, 3 of 4 or 6 of 9.

Fix: a kind leaves free as many slots as the demand (arrivals times typical service time, decayed over 2 s) of kinds eight times faster keeps busy, plus its square root for variation, up to the same third. Demand of four requests a second of 1 ms leaves none; a tenth of the load of short reads leaves one or two. The state of a kind holds its demand, so nothing else is kept.

--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -8,7 +8,7 @@
   readonly maxQueuedBytes: number;
   /** Refuses at once what cannot finish before its deadline. */
   readonly isDeadlineChecked: boolean;
-  /** Share of the slots that long work may not take; 0 for none. */
+  /** Largest share of the slots that long work leaves to short work; 0 for none. */
   readonly reservedShare: number;
   /** Divides slot time by priority when requests wait. */
   readonly isWeighted: boolean;
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -13,7 +13,8 @@
   type KindState,
   type RunningRequest,
 } from './kind_state.js';
-import {getLongSlots, isLongKind, isOverdue} from './slot_classes.js';
+import {isOverdue} from './overdue.js';
+import {ShortWork} from './short_work.js';
 import {SlotQueue} from './slot_queue.js';
 import type {SlotPolicy, SlotRequest} from './types.js';
 import {WaitEstimator} from './wait_estimator.js';
@@ -35,6 +36,8 @@
   private readonly order: KindOrder;
   private readonly estimator: WaitEstimator;
   private readonly meter = new CapacityMeter();
+  private readonly shortWork: ShortWork;
+  private readonly startedAtMs: number;
   /** Time at which the queue was last empty. */
   private emptyAtMs: number;
   private isStarting = false;
@@ -48,12 +51,15 @@
   ) {
     this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
     this.estimator = new WaitEstimator(this.order);
-    this.emptyAtMs = system.getNow().monotonicMs;
+    this.shortWork = new ShortWork(this.kinds, options.reservedShare);
+    this.startedAtMs = system.getNow().monotonicMs;
+    this.emptyAtMs = this.startedAtMs;
   }
 
   requestSlot(request: SlotRequest): () => void {
     const nowMs = this.system.getNow().monotonicMs;
     const kind = this.getKind(request);
+    kind.arrivals.addArrival(nowMs);
     if (request.deadlineAtMs <= nowMs) {
       this.refuse(request, kind, 'DD3006', MIN_RETRY_AFTER_MS);
       return () => {};
@@ -81,7 +87,11 @@
   }
 
   getReserved(): number {
-    return this.slots - getLongSlots(this.slots, this.options.reservedShare);
+    const nowMs = this.system.getNow().monotonicMs;
+    let most = 0;
+    for (const kind of this.kinds.values())
+      most = Math.max(most, this.getReservedFor(kind, nowMs));
+    return most;
   }
 
   getCapacity(): number | undefined {
@@ -216,43 +226,35 @@
   }
 
   private chooseKind(nowMs: number): KindState | undefined {
-    const hasLongSlot = this.hasLongSlot(nowMs);
-    if (hasLongSlot && !this.options.isShortFirst)
-      return this.order.choose(this.queue.getKinds());
-    const shortestMs = this.getShortestMs();
-    const short = [...this.queue.getKinds()].filter(
-      kind => !isLongKind(kind, shortestMs),
+    const {isShortFirst} = this.options;
+    const startable = [...this.queue.getKinds()].filter(kind =>
+      this.mayStart(kind, nowMs),
     );
-    const chosen = this.order.choose(short);
-    if (chosen !== undefined || !hasLongSlot) return chosen;
-    return this.order.choose(this.queue.getKinds());
+    const short = isShortFirst
+      ? startable.filter(kind => this.getReservedFor(kind, nowMs) === 0)
+      : [];
+    return this.order.choose(short.length > 0 ? short : startable);
   }
 
   private mayStart(kind: KindState, nowMs: number): boolean {
-    if (this.running.size >= this.slots) return false;
-    if (this.options.reservedShare === 0) return true;
-    return !isLongKind(kind, this.getShortestMs()) || this.hasLongSlot(nowMs);
-  }
-
-  private hasLongSlot(nowMs: number): boolean {
-    const {reservedShare} = this.options;
-    if (reservedShare === 0) return true;
-    const longSlots = this.slots - this.getReserved();
-    if (this.running.size < longSlots) return true;
-    const shortestMs = this.getShortestMs();
+    const open = this.getOpenSlots(kind, nowMs);
+    if (this.running.size < open) return true;
+    if (open === this.slots || this.running.size >= this.slots) return false;
     let long = 0;
     for (const running of this.running) {
-      if (isLongKind(running.kind, shortestMs) || isOverdue(running, nowMs))
-        long += 1;
+      const isLong = this.getReservedFor(running.kind, nowMs) > 0;
+      if (isLong || isOverdue(running, nowMs)) long += 1;
     }
-    return long < longSlots;
+    return long < open;
   }
 
-  private getShortestMs(): number {
-    let shortestMs = Infinity;
-    for (const kind of this.kinds.values())
-      shortestMs = Math.min(shortestMs, kind.estimate.getTypicalMs());
-    return shortestMs;
+  /** Returns the slots that a kind may take. */
+  private getOpenSlots(kind: KindState, nowMs: number): number {
+    return this.slots - this.getReservedFor(kind, nowMs);
+  }
+
+  private getReservedFor(kind: KindState, nowMs: number): number {
+    return this.shortWork.getReserved(kind, this.slots, nowMs);
   }
 
   private computeWaitMs(
@@ -260,7 +262,7 @@
     caller: string,
     nowMs: number,
   ): number {
-    const slots = this.getOpenSlots(kind);
+    const slots = this.getOpenSlots(kind, nowMs);
     return this.estimator.computeWaitMs(
       {
         kind,
@@ -273,13 +275,6 @@
     );
   }
 
-  /** Returns the slots that a kind may take. */
-  private getOpenSlots(kind: KindState): number {
-    return isLongKind(kind, this.getShortestMs())
-      ? this.slots - this.getReserved()
-      : this.slots;
-  }
-
   private findDropReason(
     {request, arrivedAtMs}: Waiting,
     kind: KindState,
@@ -354,9 +349,10 @@
     code: MessageCode,
     retryAfterMs: number,
   ): void {
+    const nowMs = this.system.getNow().monotonicMs;
     const load = {
       slots: this.slots,
-      openSlots: this.getOpenSlots(kind),
+      openSlots: this.getOpenSlots(kind, nowMs),
       running: this.running.size,
       queued: this.queue.getSize(),
     };
@@ -366,7 +362,7 @@
   private getKind(request: SlotRequest): KindState {
     let kind = this.kinds.get(request.kind);
     if (kind === undefined) {
-      kind = createKindState(request, this.options.isFair);
+      kind = createKindState(request, this.options.isFair, this.startedAtMs);
       this.kinds.set(request.kind, kind);
     }
     kind.priority = request.priority;
--- a/packages/limits/src/kind_state.ts
+++ b/packages/limits/src/kind_state.ts
@@ -1,6 +1,7 @@
 /**
  * What a policy knows of one kind of request.
  */
+import {ArrivalRate} from './arrival_rate.js';
 import {ServiceEstimate} from './service_estimate.js';
 import type {SlotRequest} from './types.js';
 import {WaitingList} from './waiting_list.js';
@@ -12,6 +13,9 @@
   readonly waiting: WaitingList;
   priority: number;
   running: number;
+  readonly arrivals: ArrivalRate;
+  /** Slots that its requests would keep busy on average. */
+  demand: number;
   /** Position in the order of shares: the kind with the lowest is served next. */
   pass: number;
 }
@@ -22,10 +26,11 @@
   readonly startedAtMs: number;
 }
 
-/** Creates the state of the kind of a request. */
+/** Creates the state of the kind of a request, for a server that is observed from a time on. */
 export function createKindState(
   request: SlotRequest,
   isFair: boolean,
+  startedAtMs: number,
 ): KindState {
   return {
     name: request.kind,
@@ -33,6 +38,8 @@
     waiting: new WaitingList(isFair),
     priority: request.priority,
     running: 0,
+    arrivals: new ArrivalRate(startedAtMs),
+    demand: 0,
     pass: 0,
   };
 }
--- a/packages/limits/src/wait_estimator.ts
+++ b/packages/limits/src/wait_estimator.ts
@@ -4,7 +4,7 @@
  */
 import type {KindOrder} from './kind_order.js';
 import type {KindState, RunningRequest} from './kind_state.js';
-import {isOverdue} from './slot_classes.js';
+import {isOverdue} from './overdue.js';
 
 /** What an estimate rests on. */
 export interface WaitInput {
