Plan no moves from loads that were reported to a coordinator before it was one

Cause: a daemon keeps what owners report, also while it is not the coordinator, and counted its time of waiting for reports from the first report ever. One that took over later thus called the load known at once, and owners whose reports had gone to the coordinator before counted as idle.

Fix: the wait counts from when this daemon began to ask, which only the coordinator does; an owner counts as reported only within that wait, and what is older is dropped. The test failed before: the profile was given at once.

--- a/packages/daemon/src/load_book.ts
+++ b/packages/daemon/src/load_book.ts
@@ -19,7 +19,7 @@
 const REPORT_INTERVAL_PER_OWNER_MS = 100;
 /** Report intervals after which an owner that is silent is taken to have no load. */
 const SILENT_INTERVALS = 3;
-/** Time after which a service that nobody asked for is forgotten. */
+/** Time after which a service of which nothing is heard or asked is forgotten. */
 const RETENTION_MS = 60_000;
 
 /**
@@ -34,11 +34,16 @@
 const CAPACITY_STEP = 1.2;
 
 interface ServiceBook {
-  readonly startedAtMs: number;
-  askedAtMs: number;
+  /** Time from which this daemon has asked without a break, as the coordinator does. */
+  askedSinceMs: number;
+  /** Time at which this daemon asked last; undefined before it has. */
+  askedAtMs: number | undefined;
+  /** Time at which a report came or this daemon asked. */
+  usedAtMs: number;
   profile: LoadProfile;
   readonly pending: Map<string, LoadReport>;
-  readonly reporters: Set<string>;
+  /** Owners and the times at which they reported last. */
+  readonly reporters: Map<string, number>;
   /** Capacities that owners reported, but for small changes since. */
   readonly capacities: Map<HostName, number>;
 }
@@ -58,7 +63,7 @@
     const owner = formatMember(report.owner);
     book.pending.set(owner, report);
     applyCapacity(book.capacities, report);
-    book.reporters.add(owner);
+    book.reporters.set(owner, this.system.getNow().monotonicMs);
   }
 
   /**
@@ -90,6 +95,9 @@
   ): LoadProfile | undefined {
     const nowMs = this.system.getNow().monotonicMs;
     const book = this.getBook(service);
+    const waitMs = this.getSilenceLimitMs(assignment);
+    if (nowMs - (book.askedAtMs ?? -Infinity) > waitMs)
+      startAsking(book, nowMs, waitMs);
     book.askedAtMs = nowMs;
     if (book.pending.size > 0) {
       const reports = [...book.pending.values()];
@@ -99,41 +107,66 @@
     return this.isComplete(book, assignment, nowMs) ? book.profile : undefined;
   }
 
+  /** Returns the time after which an owner that is silent is taken to have no load. */
+  private getSilenceLimitMs(assignment: Assignment): number {
+    const owners = listOwners(assignment).size;
+    const intervalMs = getReportIntervalMs(owners, this.minReportIntervalMs);
+    return intervalMs * SILENT_INTERVALS;
+  }
+
+  /** Tells whether every owner has reported of late, or has had time enough to. */
   private isComplete(
     book: ServiceBook,
     assignment: Assignment,
     nowMs: number,
   ): boolean {
-    const owners = new Set(
-      assignment.slices.flatMap(({owner}) =>
-        owner === undefined ? [] : [formatMember(owner)],
-      ),
+    const waitMs = this.getSilenceLimitMs(assignment);
+    if (nowMs - book.askedSinceMs >= waitMs) return true;
+    return [...listOwners(assignment)].every(
+      owner => nowMs - (book.reporters.get(owner) ?? -Infinity) < waitMs,
     );
-    const waitMs =
-      getReportIntervalMs(owners.size, this.minReportIntervalMs) *
-      SILENT_INTERVALS;
-    if (nowMs - book.startedAtMs >= waitMs) return true;
-    return [...owners].every(owner => book.reporters.has(owner));
   }
 
   private getBook(service: ServiceName): ServiceBook {
     const nowMs = this.system.getNow().monotonicMs;
     const present = this.books.get(service);
-    if (present !== undefined && nowMs - present.askedAtMs < RETENTION_MS)
+    if (present !== undefined && nowMs - present.usedAtMs < RETENTION_MS) {
+      present.usedAtMs = nowMs;
       return present;
-    const book = {
-      startedAtMs: nowMs,
-      askedAtMs: nowMs,
+    }
+    const book: ServiceBook = {
+      askedSinceMs: nowMs,
+      askedAtMs: undefined,
+      usedAtMs: nowMs,
       profile: EMPTY_PROFILE,
-      pending: new Map<string, LoadReport>(),
-      reporters: new Set<string>(),
-      capacities: new Map<HostName, number>(),
+      pending: new Map(),
+      reporters: new Map(),
+      capacities: new Map(),
     };
     this.books.set(service, book);
     return book;
   }
 }
 
+/** Begins to ask, as a coordinator that has just been chosen: what was reported long ago is not known any more. */
+function startAsking(book: ServiceBook, nowMs: number, maxAgeMs: number): void {
+  book.askedSinceMs = nowMs;
+  book.profile = EMPTY_PROFILE;
+  for (const [owner, reportedAtMs] of book.reporters) {
+    if (nowMs - reportedAtMs < maxAgeMs) continue;
+    book.reporters.delete(owner);
+    book.pending.delete(owner);
+  }
+}
+
+function listOwners({slices}: Assignment): ReadonlySet<string> {
+  return new Set(
+    slices.flatMap(({owner}) =>
+      owner === undefined ? [] : [formatMember(owner)],
+    ),
+  );
+}
+
 /** Takes a capacity that differs enough from the one before: small changes move no keys. */
 function applyCapacity(
   capacities: Map<HostName, number>,
--- a/packages/daemon/test/load_book.test.ts
+++ b/packages/daemon/test/load_book.test.ts
@@ -87,6 +87,23 @@
   t.is(book.readProfile('menu', assignment), profile);
 });
 
+test('a coordinator that takes over does not plan from what was reported to it long ago', t => {
+  const system = new ManualSystem();
+  const book = new LoadBook(system, REPORT_MS);
+  const assignment = createAssignment();
+  book.receiveReport(createReport(FIRST, 10));
+  system.nowMs = 6 * getReportIntervalMs(2, REPORT_MS);
+  t.is(book.readProfile('menu', assignment), undefined);
+  book.receiveReport(createReport(FIRST, 10));
+  t.is(book.readProfile('menu', assignment), undefined);
+  book.receiveReport(createReport(SECOND, 30));
+  const profile = book.readProfile('menu', assignment);
+  t.deepEqual(
+    profile?.segments.map(segment => segment.rate),
+    [5, 5, 15, 15],
+  );
+});
+
 test('a full report survives its message and is small', t => {
   const report: LoadReport = {
     ...createReport(FIRST, 64),
