Report a load early when it has changed much or the coordinator is new

Cause: an owner reports every 100 ms times the number of owners, 3.5 s at 35, so that a coordinator receives ten reports a second at any size. The load of the users swings within two seconds. The class of fault: what has to be followed within seconds became slower with the size of the fleet.

Fix: a report that is news (the rate differs by half, and by four requests a second, from what was reported last; or the coordinator is another one) goes out after 20 ms times the owners, 700 ms at 35. In steady load nothing is sent more often than before. A report that was not taken counts as not sent. The two tests failed before: no report within 1.5 s of a load of five times, or of a new coordinator.

--- a/packages/daemon/src/load_book.ts
+++ b/packages/daemon/src/load_book.ts
@@ -17,6 +17,7 @@
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
 const REPORT_INTERVAL_PER_OWNER_MS = 100;
+const EARLY_REPORT_INTERVAL_PER_OWNER_MS = 20;
 /** Report intervals after which an owner that is silent is taken to have no load. */
 const SILENT_INTERVALS = 3;
 /** Time after which a service of which nothing is heard or asked is forgotten. */
@@ -30,6 +31,14 @@
   return Math.max(minMs, owners * REPORT_INTERVAL_PER_OWNER_MS);
 }
 
+/**
+ * Returns the least time between two reports of one owner where the later one is news: its load has
+ * changed much, or the coordinator is another one.
+ */
+export function getEarlyIntervalMs(owners: number, minMs: number): number {
+  return Math.max(minMs, owners * EARLY_REPORT_INTERVAL_PER_OWNER_MS);
+}
+
 /** Ratio of capacities from which the newer one counts: less is taken for noise of service times. */
 const CAPACITY_STEP = 1.2;
 
--- a/packages/daemon/src/load_reporter.ts
+++ b/packages/daemon/src/load_reporter.ts
@@ -1,6 +1,7 @@
 /**
  * The owner's part of placement by load: counts the requests that this daemon admits, and reports
- * them to the coordinator of each service.
+ * them to the coordinator of each service. Regular reports are rarer the more owners there are; one
+ * whose load has changed much, or whose coordinator is new, reports sooner.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import {isSameMember} from '@dottereldrift/core/member.js';
@@ -11,7 +12,11 @@
 import type {LoadReport} from '@dottereldrift/ownership/load_types.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
-import {getReportIntervalMs, type LoadBook} from './load_book.js';
+import {
+  getEarlyIntervalMs,
+  getReportIntervalMs,
+  type LoadBook,
+} from './load_book.js';
 import {encodeReport} from './load_codec.js';
 import type {PeerClients} from './peer_client.js';
 import type {Settings} from './settings.js';
@@ -20,6 +25,10 @@
 /** Reports that are left out while a service has no load, but for one. */
 const IDLE_REPORTS_SKIPPED = 10;
 const MIN_REPORTED_RATE = 0.1;
+/** Share of the rate that was reported last by which a rate must differ to be reported early. */
+const CHANGED_SHARE = 0.5;
+/** Least difference that is reported early, in requests a second: fewer requests tell nothing. */
+const MIN_CHANGE = 4;
 
 interface ServiceMeter {
   readonly meter: LoadMeter;
@@ -28,6 +37,11 @@
   /** Owners of the service's slices, which all report to one coordinator. */
   owners: number;
   idleReports: number;
+  reportedAtMs: number;
+  /** Requests a second of the last report. */
+  reportedRate: number;
+  /** Coordinator that the last report went to. */
+  reportedTo: Member | undefined;
 }
 
 /** Counts and reports the load of this daemon's slices. */
@@ -67,6 +81,9 @@
       owned: 0,
       owners: 0,
       idleReports: 0,
+      reportedAtMs: nowMs,
+      reportedRate: 0,
+      reportedTo: undefined,
     };
     const self = this.getSelf();
     state.generation = generation;
@@ -81,13 +98,9 @@
   /** Reports until it is stopped. */
   async run(): Promise<void> {
     while (!this.isStopped) {
-      const intervalMs = getReportIntervalMs(
-        this.getMostOwners(),
-        this.pace.reportMs,
-      );
       await waitFor(
         this.system,
-        intervalMs * (0.75 + this.system.getRandom() / 2),
+        this.getLookIntervalMs() * (0.75 + this.system.getRandom() / 2),
       );
       if (this.isStopped) return;
       for (const [service, state] of this.meters)
@@ -99,12 +112,17 @@
     this.isStopped = true;
   }
 
-  /** Returns the number of owners of the largest service that this daemon has slices of. */
-  private getMostOwners(): number {
-    let most = 1;
-    for (const {owned, owners} of this.meters.values())
-      if (owned > 0) most = Math.max(most, owners);
-    return most;
+  /** Returns the time between two looks at whether a report is due. */
+  private getLookIntervalMs(): number {
+    let leastMs = Infinity;
+    for (const {owned, owners} of this.meters.values()) {
+      if (owned > 0)
+        leastMs = Math.min(
+          leastMs,
+          getEarlyIntervalMs(owners, this.pace.reportMs),
+        );
+    }
+    return leastMs === Infinity ? this.pace.reportMs : leastMs;
   }
 
   private async readService(
@@ -113,35 +131,58 @@
   ): Promise<void> {
     if (state.owned === 0) return;
     const nowMs = this.system.getNow().monotonicMs;
-    const report = state.meter.readReport(service, this.getSelf(), nowMs);
-    if (isIdle(report)) {
+    const live = this.view.getLiveSessions().map(session => session.member);
+    const chosen = chooseCoordinator(service, live);
+    if (chosen === undefined) return;
+    const rate = state.meter.getSettledRate(nowMs);
+    const isNews =
+      state.reportedTo === undefined ||
+      !isSameMember(state.reportedTo, chosen) ||
+      isChanged(rate, state.reportedRate);
+    if (!isNews && !this.isReportDue(state, nowMs)) return;
+    state.reportedAtMs = nowMs;
+    if (!isNews && rate < MIN_REPORTED_RATE) {
       state.idleReports += 1;
       if (state.idleReports % IDLE_REPORTS_SKIPPED !== 1) return;
     } else {
       state.idleReports = 0;
     }
+    state.reportedRate = rate;
+    const report = state.meter.readReport(service, this.getSelf(), nowMs);
     const capacity = this.getCapacity(service);
-    await this.sendReport(
+    const isTaken = await this.trySendReport(
       capacity === undefined ? report : {...report, capacity},
+      chosen,
     );
+    state.reportedTo = isTaken ? chosen : undefined;
   }
 
-  private async sendReport(report: LoadReport): Promise<void> {
-    const live = this.view.getLiveSessions().map(session => session.member);
-    const chosen = chooseCoordinator(report.service, live);
-    if (chosen === undefined) return;
+  /** Tells whether a regular report is due; looks are too far apart to meet its time exactly. */
+  private isReportDue(state: ServiceMeter, nowMs: number): boolean {
+    const intervalMs = getReportIntervalMs(state.owners, this.pace.reportMs);
+    const toleranceMs = this.getLookIntervalMs() / 2;
+    return nowMs - state.reportedAtMs >= intervalMs - toleranceMs;
+  }
+
+  /** Sends a report; false when it was not taken. */
+  private async trySendReport(
+    report: LoadReport,
+    chosen: Member,
+  ): Promise<boolean> {
     if (isSameMember(chosen, this.getSelf())) {
       this.book.receiveReport(report);
-      return;
+      return true;
     }
     const address = this.view.getSession(chosen.host)?.session.peerAddress;
-    if (address === undefined) return;
+    if (address === undefined) return false;
     try {
       await this.peers.getClient(address).reportLoad(encodeReport(report));
+      return true;
     } catch (error) {
       this.log.writeDebug('A load report was not taken.', {
         reason: String(error),
       });
+      return false;
     }
   }
 }
@@ -151,9 +192,8 @@
   return hosts.size;
 }
 
-function isIdle(report: LoadReport): boolean {
-  const rate =
-    report.segments.reduce((sum, segment) => sum + segment.rate, 0) +
-    report.hotPositions.reduce((sum, hot) => sum + hot.rate, 0);
-  return rate < MIN_REPORTED_RATE;
+/** Tells whether a rate differs so much from the one reported that the plan should know it soon. */
+function isChanged(rate: number, reportedRate: number): boolean {
+  const change = Math.abs(rate - reportedRate);
+  return change >= Math.max(MIN_CHANGE, reportedRate * CHANGED_SHARE);
 }
--- a/packages/daemon/test/load_reporter.test.ts
+++ b/packages/daemon/test/load_reporter.test.ts
@@ -4,10 +4,12 @@
 import test from 'ava';
 
 import {createLog} from '@dottereldrift/core/log.js';
+import type {Address, Member} from '@dottereldrift/core/types.js';
+import {VirtualSystem} from '@dottereldrift/core/virtual_system.js';
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
-import {LoadBook} from '../src/load_book.js';
+import {getReportIntervalMs, LoadBook} from '../src/load_book.js';
 import {LoadReporter} from '../src/load_reporter.js';
 import type {PeerClients} from '../src/peer_client.js';
 import type {StoreView} from '../src/store_view.js';
@@ -28,6 +30,106 @@
   slices: createSlices(2).map(slice => ({...slice, owner: SELF, token: 1})),
 };
 
+/** A fleet of owners with a slice each, of which the first reports its load in virtual time. */
+class Bench {
+  readonly system = new VirtualSystem(() => 0.5);
+  readonly reports: Array<{readonly to: string; readonly atMs: number}> = [];
+  private readonly reporter: LoadReporter;
+  private live: ReadonlyArray<{readonly member: Member}>;
+
+  constructor(owners: number) {
+    const members = Array.from({length: owners}, (_, index) =>
+      index === 0 ? SELF : {host: `h${index + 1}`, incarnation: 'a'},
+    );
+    this.live = members.map(member => ({member}));
+    const view = {
+      getLiveSessions: () => this.live,
+      getSession: (host: string) => ({
+        session: {peerAddress: {ip: host, port: 1}},
+      }),
+    } as unknown as StoreView;
+    const peers = {
+      getClient: ({ip}: Address) => ({
+        reportLoad: () => this.record(ip),
+      }),
+    } as unknown as PeerClients;
+    const book = new LoadBook(this.system, PACE.reportMs);
+    book.receiveReport = () => {
+      void this.record(SELF.host);
+    };
+    const log = createLog('test', 'hidden', 'error');
+    this.reporter = new LoadReporter(
+      this.system,
+      view,
+      peers,
+      book,
+      () => SELF,
+      log,
+      PACE,
+    );
+    const slices = createSlices(owners).map((slice, index) => ({
+      ...slice,
+      owner: members[index],
+      token: 1,
+    }));
+    this.reporter.applyAssignment({...ASSIGNMENT, slices});
+    void this.reporter.run();
+  }
+
+  /** Lets time pass with requests at a steady rate to the slice of this owner. */
+  async run(durationMs: number, requestsPerSecond: number): Promise<void> {
+    const startMs = this.system.getNow().monotonicMs;
+    const stepMs = 10;
+    let requests = 0;
+    for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
+      this.system.runUntil(startMs + passedMs);
+      for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+      for (; requests < (passedMs * requestsPerSecond) / 1_000; requests++)
+        this.reporter.addRequest('menu', 0, requests % 97);
+    }
+  }
+
+  endCoordinator(): void {
+    const last = this.reports[this.reports.length - 1];
+    this.live = this.live.filter(({member}) => member.host !== last?.to);
+  }
+
+  countSince(atMs: number): number {
+    return this.reports.filter(report => report.atMs >= atMs).length;
+  }
+
+  getNowMs(): number {
+    return this.system.getNow().monotonicMs;
+  }
+
+  private record(to: string): Promise<unknown> {
+    this.reports.push({to, atMs: this.getNowMs()});
+    return Promise.resolve({});
+  }
+}
+
+const OWNERS = 35;
+const REGULAR_MS = getReportIntervalMs(OWNERS, PACE.reportMs);
+
+test('an owner of a large fleet whose load doubles reports it within a second and a half', async t => {
+  const bench = new Bench(OWNERS);
+  await bench.run(30_000, 20);
+  const atMs = bench.getNowMs();
+  const steady = bench.countSince(0);
+  t.true(steady <= 30_000 / REGULAR_MS + 3, `${steady}`);
+  await bench.run(1_500, 100);
+  t.true(bench.countSince(atMs) >= 1);
+});
+
+test('an owner of a large fleet reports to a new coordinator at once', async t => {
+  const bench = new Bench(OWNERS);
+  await bench.run(30_000, 20);
+  bench.endCoordinator();
+  const atMs = bench.getNowMs();
+  await bench.run(1_500, 20);
+  t.true(bench.countSince(atMs) >= 1);
+});
+
 test('reports come as often as the owners of the service allow, however large the fleet is', async t => {
   const system = new ManualSystem();
   let reports = 0;
--- a/packages/ownership/src/load_meter.ts
+++ b/packages/ownership/src/load_meter.ts
@@ -91,12 +91,20 @@
     this.counters = counters;
   }
 
+  /** Returns the requests a second of the slices that a report covers. */
+  getSettledRate(nowMs: number): number {
+    this.updateWeight(nowMs);
+    return this.listSettled(nowMs).reduce(
+      (sum, {bins, sinceMs}) =>
+        sum + this.getRate(bins.getTotal(), sinceMs, nowMs),
+      0,
+    );
+  }
+
   /** Returns what the owner reports. */
   readReport(service: string, owner: Member, nowMs: number): LoadReport {
     this.updateWeight(nowMs);
-    const settled = [...this.counters.values()].filter(
-      counter => nowMs - counter.sinceMs >= this.pace.settleMs,
-    );
+    const settled = this.listSettled(nowMs);
     const hotPositions = this.listHotPositions(settled, nowMs);
     const total = settled.reduce((sum, {bins}) => sum + bins.getTotal(), 0);
     const rates = settled.flatMap(counter =>
@@ -170,6 +178,12 @@
       });
   }
 
+  private listSettled(nowMs: number): readonly SliceCounter[] {
+    return [...this.counters.values()].filter(
+      counter => nowMs - counter.sinceMs >= this.pace.settleMs,
+    );
+  }
+
   private getSettledToken(nowMs: number): Token {
     let settledToken = Number.MAX_SAFE_INTEGER;
     for (const {token, sinceMs} of this.counters.values()) {
