Learn from a request whose caller left how long its host takes at least

Cause: a call that is not answered by its caller's deadline ends when the caller leaves (DD3022), which the choice of hosts took for no news. A host that answers nothing in time thus kept the record of one that had never been asked, for which the least latency is assumed, and an idle one was preferred to those that answer. A server that has just joined, or a daemon that has just started again, is slow in its first seconds, so that each release and restart drew the calls of the whole fleet.

Fix: an attempt that ends without an answer after a time is an observation that the latency is at least that; it counts where it exceeds what is known.

--- a/packages/routing/src/attempt_end.ts
+++ b/packages/routing/src/attempt_end.ts
@@ -36,5 +36,6 @@
 /** Returns what a failure says about the host that was tried. */
 export function judgeFailure(code: MessageCode): AttemptEnd {
   if (LOAD_CODES.has(code)) return 'refused';
+  if (code === 'DD3022') return 'abandoned';
   return FAULT_CODES.has(code) ? 'failed' : 'neutral';
 }
--- a/packages/routing/src/host_choice.ts
+++ b/packages/routing/src/host_choice.ts
@@ -19,8 +19,12 @@
   readonly distance?: number;
 }
 
-/** How an attempt ended: with an answer, a refusal for load, a failure, or in a way that tells nothing. */
-export type AttemptEnd = 'answered' | 'refused' | 'failed' | 'neutral';
+/**
+ * How an attempt ended: with an answer, a refusal for load, a failure, with a caller that left before, or in a way
+ * that tells nothing.
+ */
+export type AttemptEnd =
+  'answered' | 'refused' | 'failed' | 'abandoned' | 'neutral';
 
 /** Weight of one answer in the usual latency of a service: it follows some fifty answers. */
 const USUAL_WEIGHT = 0.02;
--- a/packages/routing/src/host_record.ts
+++ b/packages/routing/src/host_record.ts
@@ -63,6 +63,9 @@
   ): void {
     this.inFlight -= 1;
     if (end === 'neutral') return;
+    if (end === 'abandoned' || end === 'failed')
+      this.recordLeastLatency(latencyMs, nowMs);
+    if (end === 'abandoned') return;
     if (end === 'failed') {
       this.recordFailure(nowMs, random);
       return;
@@ -123,6 +126,12 @@
     this.refusedAtMs = nowMs;
   }
 
+  /** Takes note that an answer would have taken longer than this: the caller or this daemon waited no longer. */
+  private recordLeastLatency(latencyMs: number, nowMs: number): void {
+    if (latencyMs > this.computeLatencyMs(nowMs, 0))
+      this.recordLatency(latencyMs, nowMs);
+  }
+
   private recordLatency(latencyMs: number, nowMs: number): void {
     const forgotten = 1 - computeWeight(this.latencySeenAtMs, nowMs);
     const weight = Math.max(LATENCY_WEIGHT, forgotten);
