--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -366,7 +366,7 @@
       registry,
       platform: this.platform,
       isReady: () => this.isReady(),
-      isBehind: bearableLagMs => this.loop.isBehind(bearableLagMs),
+      isBehind: () => this.loop.isBehind(),
       operators: {store, view, takeover, status, report},
       peers: this.getPeerServiceParts(),
       observe: (exchange, result) => {
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -43,7 +43,7 @@
   /** Tells whether callers are served here. */
   readonly isReady: () => boolean;
   /** Tells whether this daemon is too late with its work to begin more. */
-  readonly isBehind: (bearableLagMs?: number) => boolean;
+  readonly isBehind: () => boolean;
 }
 
 /** Listeners that are open. */
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -1,9 +1,7 @@
 /**
  * Measures how late this process is with its work. Answers the load of a start under full traffic, and
  * of a host that was frozen: what is read then has waited in the socket, its caller may have left, and
- * handling all of it late would make all of it late. Also answers more requests than the processor
- * carries: a lag that lasts delays each step of every request, so that work which holds slots misses its
- * goal or its deadline.
+ * handling all of it late would make all of it late.
  */
 import type {System} from '@dottereldrift/core/system.js';
 
@@ -17,8 +15,6 @@
   private lastTickMs: number;
   private lastTickWallMs: number;
   private lagMs = 0;
-  /** Lag of the tick before the last one. */
-  private earlierLagMs = 0;
   private cancel: () => void = () => {};
 
   constructor(private readonly system: System) {
@@ -32,7 +28,6 @@
     this.lastTickMs = now.monotonicMs;
     this.lastTickWallMs = now.wallMs;
     this.cancel = this.system.startTimer(INTERVAL_MS, () => {
-      this.earlierLagMs = this.lagMs;
       this.lagMs = this.computeLagMs();
       this.start();
     });
@@ -42,13 +37,9 @@
     this.cancel();
   }
 
-  /**
-   * Tells whether requests that are read now should not be begun: they have waited too long, or the lag has
-   * lasted for two ticks and exceeds what the request can bear. A single pause is no reason.
-   */
-  isBehind(bearableLagMs = MAX_LAG_MS): boolean {
-    const lastingMs = Math.min(this.lagMs, this.earlierLagMs);
-    return this.getLagMs() > MAX_LAG_MS || lastingMs > bearableLagMs;
+  /** Tells whether requests that are read now have waited too long to be begun. */
+  isBehind(): boolean {
+    return this.getLagMs() > MAX_LAG_MS;
   }
 
   /** Returns how late this process is with its work, in milliseconds. */
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -61,12 +61,6 @@
 /** What an owner needs of a kind beside the envelope: it sends each request once. */
 const OWNER_KIND = {match: {}, maxAttempts: 1, objective: 1};
 
-/**
- * Share of its goal that a caller's request bears as lag at each step here; a request takes some four steps.
- * Calls of this host's server bear more: one that is refused fails the request that holds a slot there.
- */
-const BEARABLE_LAG_SHARE = 0.125;
-
 interface Selected {
   readonly target: RequestTarget;
   readonly rules: ServiceRules;
@@ -87,9 +81,8 @@
     /** Service whose requests and callers are on this host. */
     private readonly getOrigin: () => ServiceName,
     private readonly getAccepted: () => AcceptedManifest | undefined,
-    /** Tells whether this daemon is too late with its work to begin a request that bears a lag. */
-    private readonly isBehind: (bearableLagMs?: number) => boolean = () =>
-      false,
+    /** Tells whether this daemon is too late with its work to begin more. */
+    private readonly isBehind: () => boolean = () => false,
   ) {}
 
   /** Checks a caller's request and reads as much of its body as is kept for retries. */
@@ -97,12 +90,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<E.Either<BadRequest, Exchange>> {
-    const selected = this.selectRoute(request);
-    const bearableLagMs =
-      E.isRight(selected) && !isFromThisHost(request)
-        ? selected.right.routed.goalMs * BEARABLE_LAG_SHARE
-        : undefined;
-    return this.createExchange(request, response, selected, bearableLagMs);
+    return this.createExchange(request, response, this.selectRoute(request));
   }
 
   /** Reads a request that another daemon has selected the service of. */
@@ -117,9 +105,8 @@
     request: IncomingMessage,
     response: ServerResponse,
     selected: E.Either<BadRequest, Selected>,
-    bearableLagMs?: number,
   ): Promise<E.Either<BadRequest, Exchange>> {
-    if (this.isBehind(bearableLagMs))
+    if (this.isBehind())
       return E.left({status: 503, message: createMessage('DD3034')});
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
@@ -227,11 +214,6 @@
   }
 }
 
-/** Tells whether a request comes from this host, as the calls of its server do. */
-function isFromThisHost({socket}: IncomingMessage): boolean {
-  return socket.remoteAddress === socket.localAddress;
-}
-
 /** Returns the header value that carries the selection of a routed request to its owner. */
 export function formatEnvelope(
   {service}: RequestTarget,
--- a/packages/daemon/test/loop_monitor.test.ts
+++ b/packages/daemon/test/loop_monitor.test.ts
@@ -30,19 +30,3 @@
   t.true(monitor.isBehind());
   monitor.stop();
 });
-
-test('a lag that lasts is more than a request with a short goal bears, and a single pause is not', t => {
-  const system = new ManualSystem();
-  const monitor = new LoopMonitor(system);
-  const lagMs = 40;
-  monitor.start();
-  system.shift(TICK_MS + lagMs);
-  t.false(monitor.isBehind(25), 'one pause');
-  system.shift(TICK_MS + lagMs);
-  t.true(monitor.isBehind(25), 'two ticks in a row');
-  t.false(monitor.isBehind(50), 'a longer goal');
-  t.false(monitor.isBehind(), 'a call of a server');
-  system.shift(TICK_MS);
-  t.false(monitor.isBehind(25), 'caught up');
-  monitor.stop();
-});
--- a/packages/daemon/test/routed_listener.test.ts
+++ b/packages/daemon/test/routed_listener.test.ts
@@ -29,7 +29,6 @@
 
 import {createLimits} from './fakes.js';
 
-const GOAL_MS = 100;
 const WAIT_MS = 100;
 const REQUEST = 'GET /menu/1 HTTP/1.1\r\nhost: shop.example\r\n\r\n';
 const KIND: RequestKind = {
@@ -53,7 +52,7 @@
         name: 'menu',
         host: 'shop.example',
         pathPrefix: '/menu/',
-        goalMs: GOAL_MS,
+        goalMs: 100,
         kind: KIND,
         parts: [{service: 'menu', weight: 1}],
       },
@@ -69,10 +68,7 @@
   createProblemHead: () => ({status: 503, headers: {'retry-after': '0.250'}}),
 };
 
-async function openBench(
-  isBehind: boolean | ((bearableLagMs?: number) => boolean),
-  observe = () => {},
-) {
+async function openBench(isBehind: boolean, observe = () => {}) {
   const handled: string[] = [];
   const defects: string[] = [];
   const factory = new RoutedExchangeFactory(
@@ -81,7 +77,7 @@
     PROTOCOL,
     () => 'menu',
     () => ACCEPTED,
-    typeof isBehind === 'boolean' ? () => isBehind : isBehind,
+    () => isBehind,
   );
   const app = createListener(createLimits());
   const handle = (): Promise<AttemptResult> => {
@@ -130,22 +126,6 @@
   });
 }
 
-test('a request bears a lag by its goal; a call of the server on this host bears more', async t => {
-  const bearable: Array<number | undefined> = [];
-  const {app, port} = await openBench(bearableLagMs => {
-    bearable.push(bearableLagMs);
-    return true;
-  });
-  for (const localAddress of ['127.0.0.2', '127.0.0.1']) {
-    const socket = connect({port, host: '127.0.0.1', localAddress});
-    socket.write(REQUEST);
-    await once(socket, 'data');
-    socket.destroy();
-  }
-  t.deepEqual(bearable, [GOAL_MS / 8, undefined]);
-  await app.close();
-});
-
 test('a defect is written to the log before its connection is broken', async t => {
   const {app, defects, port} = await openBench(false, () => {
     throw new Error('the report is broken');
