--- /dev/null
+++ b/packages/scenario/src/soak/soak_traffic.ts
@@ -0,0 +1,113 @@
+/**
+ * Callers of the soak: requests for whole-numbered keys, most of them for a few busy neighbours, so that keys are
+ * cut, moved and merged while faults strike.
+ */
+import type {RequestKind, ServiceRules} from '@dottereldrift/manifest/types.js';
+import {RANGE_KEYS} from '@dottereldrift/ownership/key_range.js';
+import {Abandonment} from '@dottereldrift/daemon/abandonment.js';
+import type {AnswerSink, Exchange} from '@dottereldrift/daemon/exchange.js';
+
+import type {VirtualClock} from '../virtual_clock.js';
+import type {Place, VirtualNetwork} from '../virtual_network.js';
+import {SOAK_SERVICE, type SoakHost} from './soak_host.js';
+
+const REQUESTS_PER_SECOND = 60;
+const MS_PER_SECOND = 1_000;
+const HOT_SHARE = 0.7;
+const HOT_KEYS = 200;
+const CALLER_TIMEOUT_MS = 2_000;
+
+const READ: RequestKind = {
+  name: 'read',
+  match: {},
+  idempotent: true,
+  deadlineMs: 1_000,
+  maxAttempts: 2,
+  priority: 5,
+  expectedServiceMs: 20,
+  objective: 0.99,
+};
+
+/** Rules of the service that the soak plays. */
+export const SOAK_RULES: ServiceRules = {
+  division: 'byRange',
+  fencing: 'checked',
+  maxRunMs: 30_000,
+  slicesPerServer: 6,
+  maxQueued: 64,
+  kinds: [READ],
+};
+
+/** Sends requests. */
+export class SoakTraffic {
+  completed = 0;
+  sent = 0;
+  private firstHotKey = 0;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly network: VirtualNetwork,
+    private readonly callers: Place,
+    private readonly hosts: readonly SoakHost[],
+  ) {}
+
+  /** Sends requests until a time. */
+  start(endMs: number): void {
+    const meanMs = MS_PER_SECOND / REQUESTS_PER_SECOND;
+    const sendNext = () => {
+      if (this.clock.getElapsedMs() >= endMs) return;
+      void this.sendOne();
+      const delayMs = -Math.log(1 - this.clock.getRandom()) * meanMs;
+      this.clock.startTimer(delayMs, sendNext);
+    };
+    sendNext();
+  }
+
+  /** Makes other neighbours busy. */
+  shiftHotKeys(): void {
+    const room = RANGE_KEYS - HOT_KEYS;
+    this.firstHotKey = Math.floor(this.clock.getRandom() * room);
+  }
+
+  private async sendOne(): Promise<void> {
+    const key = String(this.drawKey());
+    this.sent += 1;
+    const index = Math.floor(this.clock.getRandom() * this.hosts.length);
+    const daemon = this.hosts[index]?.daemon;
+    if (daemon?.getView().getManifest() === undefined) return;
+    const serve = () =>
+      daemon.serveCaller(answer => this.createExchange(key, answer));
+    const answered = await this.network
+      .call(this.callers, daemon.place, CALLER_TIMEOUT_MS, serve)
+      .catch(() => undefined);
+    if (answered?.outcome === 'completed') this.completed += 1;
+  }
+
+  private drawKey(): number {
+    const isHot = this.clock.getRandom() < HOT_SHARE;
+    const offset = this.clock.getRandom();
+    return isHot
+      ? this.firstHotKey + Math.floor(offset * HOT_KEYS)
+      : Math.floor(offset * RANGE_KEYS);
+  }
+
+  private createExchange(key: string, answer: AnswerSink): Exchange {
+    const receivedAt = this.clock.getNow();
+    return {
+      rules: SOAK_RULES,
+      kind: READ,
+      answer,
+      method: 'GET',
+      target: {service: SOAK_SERVICE, key, path: '/'},
+      headers: {'request-key': key},
+      body: {kind: 'none'},
+      receivedAt,
+      deadlineAtMs: receivedAt.monotonicMs + READ.deadlineMs,
+      caller: 'callers',
+      idempotencyKey: undefined,
+      firstGeneration: undefined,
+      firstSentWallMs: receivedAt.wallMs,
+      abandonment: new Abandonment(),
+    };
+  }
+}
--- a/packages/scenario/src/virtual_daemon.ts
+++ b/packages/scenario/src/virtual_daemon.ts
@@ -32,6 +32,8 @@
   type PeerClients,
 } from '@dottereldrift/daemon/peer_client.js';
 import {addPeerService} from '@dottereldrift/daemon/peer_listener.js';
+import type {HoldGrant} from '@dottereldrift/daemon/answered_grants.js';
+import type {ServerHeartbeat} from '@dottereldrift/daemon/server_types.js';
 import type {Settings} from '@dottereldrift/daemon/settings.js';
 import type {StoreView} from '@dottereldrift/daemon/store_view.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
@@ -116,6 +118,19 @@
     else this.registry.receiveAnnouncement(info);
   }
 
+  /** Answers a heartbeat of the server on the host with its grant. */
+  async answerHeartbeat(
+    heartbeat: ServerHeartbeat,
+  ): Promise<HoldGrant | 'stale' | undefined> {
+    const waitedMs = await this.registry.waitForNews(heartbeat);
+    return this.registry.receiveHeartbeat(heartbeat, waitedMs);
+  }
+
+  /** Takes the word of the server on the host that it ends. */
+  receiveLeave(instanceId: string): void {
+    this.registry.receiveLeave(instanceId);
+  }
+
   /** Serves a request of a caller. */
   serveCaller(
     createExchange: (answer: AnswerSink) => Exchange,
--- a/packages/scenario/src/virtual_host.ts
+++ b/packages/scenario/src/virtual_host.ts
@@ -167,7 +167,7 @@
 }
 
 /** Passes sentences on instead of writing them. */
-class TraceLog implements Log {
+export class TraceLog implements Log {
   constructor(
     private readonly onSentence: (sentence: string, fields: LogFields) => void,
   ) {}
--- a/packages/scenario/src/virtual_server.ts
+++ b/packages/scenario/src/virtual_server.ts
@@ -24,12 +24,23 @@
 const GRANTS_PATH = '/dottereldrift/grants/';
 
 /** An answer of the server. */
-interface ServerAnswer {
+export interface ServerAnswer {
   readonly status: number;
   readonly headers: Record<string, string>;
   readonly body: string;
 }
 
+/** What the connections of a daemon lead to. */
+export interface PoolServer {
+  readonly place: Place;
+  /** Serves a request or takes a grant. */
+  serve(
+    path: string,
+    headers: RequestHeaders,
+    body: string,
+  ): Promise<ServerAnswer>;
+}
+
 /** What a server is. */
 export interface VirtualServerOptions {
   readonly place: Place;
@@ -43,7 +54,7 @@
 }
 
 /** A backend server. */
-export class VirtualServer {
+export class VirtualServer implements PoolServer {
   readonly place: Place;
   private readonly grants = new GrantTable();
   private readonly waiting: Array<() => void> = [];
@@ -140,7 +151,7 @@
   constructor(
     private readonly daemon: Place,
     private readonly network: VirtualNetwork,
-    private readonly server: VirtualServer,
+    private readonly server: PoolServer,
   ) {
     super();
   }
