Log what a release of slices rests on, and each answer that changes what a server holds

The log could not tell why an owner said that slices were released: because the server had said so, or because its grants were taken for ended. A line names the slices, the generation and how long the server's last grant is still in force (0: taken for ended), and another one each answer to a heartbeat that adds keys or leaves keys out.

--- a/packages/daemon/src/answered_grants.ts
+++ b/packages/daemon/src/answered_grants.ts
@@ -113,6 +113,10 @@
     return this.system.getNow().monotonicMs >= this.latestEndMs;
   }
 
+  getLatestEndMs(): number {
+    return this.latestEndMs;
+  }
+
   getUnansweredMs(): number {
     return 0;
   }
@@ -308,7 +312,7 @@
 }
 
 /** Tells whether keys lie within rows of their token; rows may be cut otherwise than they were. */
-function isWithin(keys: HeldKeys, rows: readonly HeldKeys[]): boolean {
+export function isWithin(keys: HeldKeys, rows: readonly HeldKeys[]): boolean {
   let next = keys.first;
   const same = rows.filter(({token}) => token === keys.token);
   for (const row of [...same].sort((a, b) => a.first - b.first)) {
--- a/packages/daemon/src/grant_book.ts
+++ b/packages/daemon/src/grant_book.ts
@@ -25,6 +25,8 @@
   getAcknowledgedEnd(): Instant;
   /** Tells whether no grant that was ever given lets a server start a request now. */
   hasLapsed(): boolean;
+  /** Monotonic time at which every grant that was ever given has ended. */
+  getLatestEndMs(): number;
   /** Milliseconds for which the server has left a grant unanswered. */
   getUnansweredMs(): number;
   /** Forgets what the server has taken: it is gone, or another one came. */
--- a/packages/daemon/src/grant_sender.ts
+++ b/packages/daemon/src/grant_sender.ts
@@ -63,6 +63,10 @@
     return this.system.getNow().monotonicMs >= this.latestEnd.monotonicMs;
   }
 
+  getLatestEndMs(): number {
+    return this.latestEnd.monotonicMs;
+  }
+
   /** Milliseconds for which the server has left a grant unanswered. */
   getUnansweredMs(): number {
     if (this.unansweredSinceMs === undefined) return 0;
--- a/packages/daemon/src/mover.ts
+++ b/packages/daemon/src/mover.ts
@@ -4,7 +4,7 @@
  * then says that they are released. A slice on which a request runs holds up no other slice.
  */
 import type {Log} from '@dottereldrift/core/log.js';
-import {isSameMember} from '@dottereldrift/core/member.js';
+import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
 import type {SliceRef} from '@dottereldrift/ownership/types.js';
@@ -49,7 +49,24 @@
     }
     if (idle.length === 0) return [];
     if (!isAnswering && !(await this.registry.tryRevoke(service))) return [];
-    return (await this.tryHandOver(service, nextOwner, idle)) ? idle : [];
+    if (!(await this.tryHandOver(service, nextOwner, idle))) return [];
+    this.writeRelease(service, nextOwner, idle);
+    return idle;
+  }
+
+  private writeRelease(
+    service: ServiceName,
+    nextOwner: Member,
+    refs: readonly SliceRef[],
+  ): void {
+    this.log.writeInfo('Slices were released.', {
+      service,
+      nextOwner: formatMember(nextOwner),
+      slices: refs.map(({start, token}) => `${start}/${token}`).join(' '),
+      generation: this.owner.getAssignment(service)?.generation ?? 0,
+      // 0 when the server's grants have ended; otherwise the server has said that it let go.
+      grantLeftMs: Math.round(this.registry.getGrantLeftMs(service)),
+    });
   }
 
   /**
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -17,6 +17,7 @@
   type AdmissionStop,
   type HoldGrant,
   type HoldReport,
+  isWithin,
 } from './answered_grants.js';
 import type {GrantBook, GrantSource} from './grant_book.js';
 import {HeartbeatWait} from './heartbeat_wait.js';
@@ -152,11 +153,33 @@
       this.owned.mayGrant(service);
     const voidToken = entry.info.voidToken ?? 0;
     const grant = book.answerReport(report, mayGrant, voidToken, waitedMs);
-    if (grant !== undefined)
+    if (grant !== undefined) {
       this.writeLeftOut(service, book.getLeftOutRows(), grant.keys.length);
+      this.writeChange(service, report, grant);
+    }
     return grant;
   }
 
+  /** Writes a line when an answer changes what the server holds. */
+  private writeChange(
+    service: ServiceName,
+    {held}: HoldReport,
+    {keys, holdMs}: HoldGrant,
+  ): void {
+    const added = keys.filter(row => !isWithin(row, held)).length;
+    const leftOut = held.filter(row => !isWithin(row, keys)).length;
+    if (added === 0 && leftOut === 0) return;
+    const generation = this.owned.getAssignment(service)?.generation ?? 0;
+    this.log.writeInfo('An answer changes what the server holds.', {
+      service,
+      life: this.entries.get(service)?.info.life ?? '',
+      generation,
+      added,
+      leftOut,
+      holdMs,
+    });
+  }
+
   /** Writes a warning when more keys than before are not granted for want of room. */
   private writeLeftOut(
     service: ServiceName,
@@ -349,6 +372,12 @@
       : undefined;
   }
 
+  /** Returns how long the last grant of a service is in force from now, in milliseconds. */
+  getGrantLeftMs(service: ServiceName): number {
+    const nowMs = this.system.getNow().monotonicMs;
+    return Math.max(0, this.getBook(service).getLatestEndMs() - nowMs);
+  }
+
   /** Tells whether a server may still be given work: it stays, or began to leave a moment ago. */
   isAccepting(service: ServiceName): boolean {
     const nowMs = this.system.getNow().monotonicMs;
