Count grants of the run before this process from its start, not from when it has joined

Callers saw: two backend servers held the same keys. A slice on the move was given on while the server of its old owner still held it, for up to the rest of a lease (2 s).

Cause: a daemon that starts beside a live server has an empty book of grants, and an empty book says that every grant has lapsed. recordEarlierGrants corrected it at the next check after the session was joined, up to 100 ms later, and only for services that the session in the store named. The coordinator sees that session within a few milliseconds, passes the slices on and asks for those on the move, which were released at once. Grants that are pushed had the same fault and no correction at all, and a daemon that was stopped right after its start ended its session without waiting.

Why it works: both books now begin with the one thing that is known of the past, that a run before this process may have granted until one lease after its end, which is no later than this process's start. What is proved otherwise (the server's own word, its leave) still ends the wait.

--- a/packages/daemon/src/answered_grants.ts
+++ b/packages/daemon/src/answered_grants.ts
@@ -79,7 +79,7 @@
   private taken: readonly HeldKeys[] = [];
   private takenEnd = NEVER;
   /** Monotonic time at which every grant that was given has ended. */
-  private latestEndMs = -Infinity;
+  private latestEndMs: number;
   private readonly releases = new Map<string, Release>();
   private stopAdmission: AdmissionStop = () => {};
   private leftOutRows = 0;
@@ -88,7 +88,11 @@
     private readonly system: System,
     private readonly source: GrantSource,
     private readonly limits: HoldLimits,
-  ) {}
+    /** Monotonic time at which grants of an earlier run of this daemon have ended. */
+    earlierEndMs: number,
+  ) {
+    this.latestEndMs = earlierEndMs;
+  }
 
   isGranted(slice: Slice): boolean {
     const now = this.system.getNow();
@@ -126,21 +130,11 @@
     this.takenEnd = NEVER;
   }
 
-  /** Notes that the server which had the grants is proved to be gone, so that they bind nobody. */
   endProvedGone(): void {
     this.reset();
     this.latestEndMs = -Infinity;
   }
 
-  /**
-   * Notes that a run of this daemon before this process may have given grants, which end with its
-   * lease.
-   */
-  recordEarlierGrants(leaseMs: number): void {
-    const endMs = this.system.getNow().monotonicMs + leaseMs;
-    this.latestEndMs = Math.max(this.latestEndMs, endMs);
-  }
-
   send(): Promise<void> {
     return Promise.resolve();
   }
--- a/packages/daemon/src/grant_book.ts
+++ b/packages/daemon/src/grant_book.ts
@@ -31,6 +31,8 @@
   getUnansweredMs(): number;
   /** Forgets what the server has taken: it is gone, or another one came. */
   reset(): void;
+  /** Notes that the server which had the grants is proved to be gone, so that they bind nobody. */
+  endProvedGone(): void;
   /** Brings the server its newest grant, where the daemon is the one to call. */
   send(server: Dispatcher): Promise<void>;
   /** Makes the server confirm its list of slices; true once it has. */
--- a/packages/daemon/src/grant_sender.ts
+++ b/packages/daemon/src/grant_sender.ts
@@ -27,7 +27,7 @@
   private acknowledgedGeneration = 0;
   private acknowledgedEnd = NEVER;
   /** Latest end that any grant named, acknowledged or not. */
-  private latestEnd = NEVER;
+  private latestEnd: Instant;
   /** Grants that list their slices: asked for and acknowledged. */
   private listsWanted = 0;
   private listsAcknowledged = 0;
@@ -41,7 +41,11 @@
     private readonly source: GrantSource,
     private readonly onRefused: () => void,
     private readonly log: Log,
-  ) {}
+    /** When grants of an earlier run of this daemon have ended. */
+    earlierEnd: Instant,
+  ) {
+    this.latestEnd = earlierEnd;
+  }
 
   /** Tells whether the server has acknowledged a slice and may still run requests of it. */
   isGranted(slice: Slice): boolean {
@@ -81,6 +85,11 @@
     this.unansweredSinceMs = undefined;
   }
 
+  endProvedGone(): void {
+    this.reset();
+    this.latestEnd = NEVER;
+  }
+
   /** Sends the newest grant; one is under way at a time. */
   send(server: Dispatcher): Promise<void> {
     this.isStale = true;
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -67,8 +67,7 @@
   private readonly lastInfos = new Map<ServiceName, ServerInfo>();
   /** Servers whose life has not been compared yet, because the store has not been read. */
   private readonly unjudged = new Set<ServiceName>();
-  private readonly startedAtMs: number;
-  private hasJudged = false;
+  private readonly startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
   private readonly leftInstances = new Set<string>();
@@ -90,7 +89,7 @@
     private readonly createPool: ServerPoolFactory = createServerPool,
     private readonly options: RegistryOptions = PUSHING,
   ) {
-    this.startedAtMs = system.getNow().monotonicMs;
+    this.startedAt = system.getNow();
     this.answerWait = new HeartbeatWait(system);
   }
 
@@ -219,7 +218,6 @@
   /** Gives a server that is new here the token below which its slices were given to an earlier life. */
   private judgeLives(): void {
     if (!this.keeper.isJoined()) return;
-    if (!this.hasJudged) this.recordEarlierGrants();
     for (const service of this.unjudged) {
       const entry = this.entries.get(service);
       if (entry !== undefined)
@@ -254,16 +252,6 @@
     return this.lastInfos.get(service) ?? earlier;
   }
 
-  /** Grants that the run before this process gave end with its lease, at the latest. */
-  private recordEarlierGrants(): void {
-    this.hasJudged = true;
-    for (const {service} of this.keeper.getEarlierServers()) {
-      const book = this.getBook(service);
-      if (book instanceof AnsweredGrants)
-        book.recordEarlierGrants(LEASE_DURATION_MS);
-    }
-  }
-
   /**
    * A server that leaves when it is first heard here may have had its leave acknowledged by an earlier
    * run of this daemon, at a time that is not known.
@@ -362,6 +350,7 @@
       return;
     }
     this.removeEntry(service, 'it left');
+    this.getBook(service).endProvedGone();
     this.publishServers();
   }
 
@@ -418,8 +407,7 @@
     const sender = this.getBook(service);
     if (sender.hasLapsed()) return true;
     const entry = this.entries.get(service);
-    if (entry === undefined) return !this.heldBack.has(service);
-    if (this.isHeldBack(service)) return false;
+    if (entry === undefined || this.isHeldBack(service)) return false;
     return sender.tryConfirm(entry.pool);
   }
 
@@ -430,6 +418,9 @@
       if (await this.tryRevoke(service)) continue;
       while (!sender.hasLapsed()) await waitFor(this.system, CHECK_INTERVAL_MS);
     }
+    // A service that was not heard of here has no book; an earlier run may have granted its keys.
+    while (this.getAgeMs() < LEASE_DURATION_MS)
+      await waitFor(this.system, CHECK_INTERVAL_MS);
   }
 
   /** Sends every server its slices and the end of the lease. */
@@ -514,13 +505,18 @@
 
   /** Takes servers of the earlier run out of the session that have not been heard since the start. */
   private dropEarlierServers(): void {
-    const ageMs = this.system.getNow().monotonicMs - this.startedAtMs;
-    const isDue = !this.hasDroppedEarlier && ageMs > SERVER_SILENCE_MS;
+    const isDue =
+      !this.hasDroppedEarlier && this.getAgeMs() > SERVER_SILENCE_MS;
     if (!isDue || this.keeper.getEarlierServers().length === 0) return;
     this.hasDroppedEarlier = true;
     this.publishServers();
   }
 
+  /** Returns for how long this process has run, in milliseconds. */
+  private getAgeMs(): number {
+    return this.system.getNow().monotonicMs - this.startedAt.monotonicMs;
+  }
+
   private isChecking(service: ServiceName): boolean {
     return this.getRules(service)?.fencing === 'checked';
   }
@@ -550,10 +546,15 @@
       this.endLostServer(service, 'it refuses connections');
       this.publishServers();
     };
-    const {system, log, options} = this;
+    const {system, log, options, startedAt} = this;
+    // The run before this process may have granted until the end of its lease.
+    const earlierEnd = {
+      monotonicMs: startedAt.monotonicMs + LEASE_DURATION_MS,
+      wallMs: startedAt.wallMs + LEASE_DURATION_MS,
+    };
     return options.isAnswering
-      ? new AnsweredGrants(system, source, options)
-      : new GrantSender(service, system, source, onRefused, log);
+      ? new AnsweredGrants(system, source, options, earlierEnd.monotonicMs)
+      : new GrantSender(service, system, source, onRefused, log, earlierEnd);
   }
 }
 
--- a/packages/daemon/test/answered_grants.test.ts
+++ b/packages/daemon/test/answered_grants.test.ts
@@ -33,7 +33,7 @@
   leaseEnd: Instant | undefined;
   readonly book: AnsweredGrants;
 
-  constructor(maxGrantBytes = 4_000) {
+  constructor(maxGrantBytes = 4_000, earlierGrantsMs = -Infinity) {
     this.book = new AnsweredGrants(
       this.system,
       {
@@ -47,6 +47,7 @@
         getLeaseEnd: () => this.leaseEnd ?? this.addLease(),
       },
       {maxHoldMs: 10_000, maxGrantBytes},
+      this.system.getNow().monotonicMs + earlierGrantsMs,
     );
   }
 
@@ -146,9 +147,10 @@
 });
 
 test('grants of the run before this process count until its lease has ended', t => {
-  const bench = new Bench();
-  bench.book.recordEarlierGrants(LEASE_MS);
+  const bench = new Bench(4_000, LEASE_MS);
   t.false(bench.book.hasLapsed());
+  bench.askRelease();
+  t.deepEqual(bench.book.findReleased([FIRST]), []);
   bench.system.shift(LEASE_MS);
   t.true(bench.book.hasLapsed());
 });
--- a/packages/daemon/test/grant_sender.test.ts
+++ b/packages/daemon/test/grant_sender.test.ts
@@ -6,6 +6,7 @@
 
 import {createLog} from '@dottereldrift/core/log.js';
 import type {Cancel, System} from '@dottereldrift/core/system.js';
+import type {Instant} from '@dottereldrift/core/types.js';
 import type {Slice} from '@dottereldrift/ownership/types.js';
 
 import {GRANT_PATH, GrantSender} from '../src/grant_sender.js';
@@ -50,7 +51,9 @@
   readonly sender: GrantSender;
   private readonly agent = new MockAgent();
 
-  constructor() {
+  constructor(
+    earlierEnd: Instant = {monotonicMs: -Infinity, wallMs: -Infinity},
+  ) {
     this.agent.disableNetConnect();
     this.pool = this.agent.get(ORIGIN);
     this.sender = new GrantSender(
@@ -73,6 +76,7 @@
         this.refusals += 1;
       },
       createLog('test', 'hidden', 'error'),
+      earlierEnd,
     );
   }
 
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -7,6 +7,7 @@
 import {createLog} from '@dottereldrift/core/log.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {ServiceRules} from '@dottereldrift/manifest/types.js';
+import {LEASE_DURATION_MS} from '@dottereldrift/membership/constants.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
@@ -33,6 +34,10 @@
   readonly isLeaving?: boolean;
 };
 
+function runPromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 class Bench {
   readonly system = new ManualSystem();
   published: readonly ServerInfo[] = [];
@@ -40,6 +45,7 @@
   isJoined = true;
   mayGrant = true;
   isExpecting = false;
+  held = ASSIGNMENT.slices;
   readonly registry = new ServerRegistry(
     this.system,
     {
@@ -56,7 +62,7 @@
     () => new FifoPolicy(this.system, 1, () => 10),
     {
       getAssignment: () => ASSIGNMENT,
-      getHeldSlices: () => ASSIGNMENT.slices,
+      getHeldSlices: () => this.held,
       mayGrant: () => this.mayGrant,
       isExpecting: () => this.isExpecting,
     },
@@ -177,6 +183,35 @@
   t.false(bench.registry.isAccepting(SERVICE));
 });
 
+test('a daemon that has just started releases no slice before the grants of the run before it have ended', t => {
+  const bench = new Bench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  t.deepEqual(release(), []);
+  t.is(bench.held.length, 1, 'requests are admitted until the server is told');
+  bench.system.shift(LEASE_DURATION_MS);
+  release();
+  t.is(release().length, 1);
+});
+
+test('a daemon that has just started does not end its session before the grants of the run before it have ended', async t => {
+  const bench = new Bench();
+  let isEnded = false;
+  const ended = bench.registry.endGrants().then(() => {
+    isEnded = true;
+  });
+  await runPromises();
+  t.false(isEnded);
+  for (let ms = 0; ms < LEASE_DURATION_MS; ms += 100) {
+    bench.system.shift(100);
+    await runPromises();
+  }
+  await ended;
+  t.true(isEnded);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
--- a/packages/daemon/test/server_registry.test.ts
+++ b/packages/daemon/test/server_registry.test.ts
@@ -5,6 +5,8 @@
 
 import {createLog} from '@dottereldrift/core/log.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import type {ServiceRules} from '@dottereldrift/manifest/types.js';
+import {LEASE_DURATION_MS} from '@dottereldrift/membership/constants.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
 
 import {SERVER_SILENCE_MS, ServerRegistry} from '../src/server_registry.js';
@@ -21,6 +23,7 @@
 };
 
 class Bench {
+  rules: ServiceRules | undefined;
   readonly system = new ManualSystem();
   readonly published: Array<readonly ServerInfo[]> = [];
   readonly policy = new FifoPolicy(this.system, 1, () => 10);
@@ -41,7 +44,7 @@
       isExpecting: () => false,
       mayGrant: () => true,
     },
-    () => undefined,
+    () => this.rules,
     createLog('test', 'hidden', 'error'),
   );
 
@@ -97,3 +100,19 @@
   t.is(bench.registry.getServer(SERVICE), undefined);
   t.deepEqual(bench.published, [[INFO], []]);
 });
+
+test('a daemon that pushes grants and has just started revokes none before those of the run before it have ended', async t => {
+  const bench = new Bench();
+  bench.rules = {division: 'byKey', fencing: 'checked'} as ServiceRules;
+  t.false(await bench.registry.tryRevoke(SERVICE));
+  bench.system.shift(LEASE_DURATION_MS);
+  t.true(await bench.registry.tryRevoke(SERVICE));
+});
+
+test('a server that has taken leave holds no grant that must be waited for', async t => {
+  const bench = new Bench();
+  bench.rules = {division: 'byKey', fencing: 'checked'} as ServiceRules;
+  bench.registry.receiveAnnouncement(INFO);
+  bench.registry.removeServer(SERVICE);
+  t.true(await bench.registry.tryRevoke(SERVICE));
+});
