Compare a server's life with the last one known, not with itself

Callers could see: a server that takes keys under a fencing token that another server had (OWNER).

Cause: a daemon that has not joined yet cannot compare the life of the server that it hears.

The test failed before: the life was published without a void token. Only lives that have been compared are kept now, so the comparison is with the life of the earlier run.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -481,8 +481,8 @@
     if (entry === undefined) return;
     this.log.writeWarning('A backend server is gone.', {service, reason});
     this.entries.delete(service);
-    this.unjudged.delete(service);
-    this.lastInfos.set(service, entry.info);
+    const isCompared = !this.unjudged.delete(service);
+    if (isCompared) this.lastInfos.set(service, entry.info);
     this.getBook(service).reset();
     entry.policy.refuseAll('DD3024');
     if (this.options.isAnswering) void this.endPool(entry.pool);
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -12,7 +12,7 @@
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
-import {ServerRegistry} from '../src/server_registry.js';
+import {SERVER_SILENCE_MS, ServerRegistry} from '../src/server_registry.js';
 import type {ServerHeartbeat} from '../src/server_types.js';
 import {ManualSystem} from './fakes.js';
 
@@ -46,6 +46,7 @@
   mayGrant = true;
   isExpecting = false;
   held = ASSIGNMENT.slices;
+  rules: ServiceRules | undefined = RULES;
   readonly registry = new ServerRegistry(
     this.system,
     {
@@ -66,7 +67,7 @@
       mayGrant: () => this.mayGrant,
       isExpecting: () => this.isExpecting,
     },
-    () => RULES,
+    () => this.rules,
     createLog('test', 'hidden', 'error'),
     undefined,
     {
@@ -212,6 +213,20 @@
   t.true(isEnded);
 });
 
+test('a life that fell silent before it could be compared is still a new life when it returns', t => {
+  const bench = new Bench();
+  bench.earlier = [createEarlier('i-0/1', 3)];
+  bench.isJoined = false;
+  bench.registry.start();
+  bench.sendHeartbeat({sequence: 1});
+  for (let ms = 0; ms <= SERVER_SILENCE_MS; ms += 100) bench.system.shift(100);
+  t.is(bench.registry.getServer(SERVICE), undefined);
+  bench.sendHeartbeat({sequence: 2});
+  bench.isJoined = true;
+  bench.system.shift(100);
+  t.is(bench.published[0]?.voidToken, ASSIGNMENT.generation);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
