Wait for grants to end also while no rules of the service are known

Callers could see: two servers that hold the same keys (OWNER).

Cause: whether a server checks grants comes from the configuration. A daemon that knows assignments and no configuration, as one that started while the configuration could not be read, took a service without rules for one whose servers check nothing, and released its slices at once. Unknown counts as checked now: the server's word, or the end of its grants. What is not granted without rules stays as it was.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -196,7 +196,7 @@
 
   /** Tells whether grants of a service travel in the answers to heartbeats. */
   isAnswering(service: ServiceName): boolean {
-    return this.options.isAnswering && this.isChecking(service);
+    return this.options.isAnswering && this.mayCheck(service);
   }
 
   /**
@@ -403,7 +403,7 @@
    * server has acknowledged a grant without it, or every grant has lapsed.
    */
   async tryRevoke(service: ServiceName): Promise<boolean> {
-    if (!this.isChecking(service)) return true;
+    if (!this.mayCheck(service)) return true;
     const sender = this.getBook(service);
     if (sender.hasLapsed()) return true;
     const entry = this.entries.get(service);
@@ -521,6 +521,11 @@
     return this.getRules(service)?.fencing === 'checked';
   }
 
+  /** Tells whether servers may hold grants; they may while no rules say otherwise. */
+  private mayCheck(service: ServiceName): boolean {
+    return this.getRules(service)?.fencing !== 'none';
+  }
+
   private isHeldBack(service: ServiceName): boolean {
     if (this.heldBack.has(service) && this.getBook(service).hasLapsed())
       this.heldBack.delete(service);
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -227,6 +227,14 @@
   t.is(bench.published[0]?.voidToken, ASSIGNMENT.generation);
 });
 
+test('while no rules are known, keys are released by the word of the server or the end of its grants only', async t => {
+  const bench = new Bench();
+  bench.sendHeartbeat();
+  bench.rules = undefined;
+  t.true(bench.registry.isAnswering(SERVICE));
+  t.false(await bench.registry.tryRevoke(SERVICE));
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
