Leave the session to the next run also when the server has not been heard yet

Callers saw nothing of their keys for as long as a move takes: a daemon that was stopped within the first second of its life, as when a kill and a rolling restart meet, had not heard its server. It took the host for one without a server, gave all slices away and ended its session, though the server went on. The servers that the session of the run before names stand until they are heard or have been silent for three seconds; the stop now goes by them as the published session does. The test failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -325,7 +325,12 @@
 
   /** Tells whether a server of this host is to go on when this daemon starts again. */
   hasStayingServer(): boolean {
-    return [...this.entries.values()].some(({info}) => !info.isLeaving);
+    const heard = [...this.entries.values()].map(({info}) => info);
+    const known =
+      heard.length > 0 || this.hasDroppedEarlier
+        ? heard
+        : this.keeper.getEarlierServers();
+    return known.some(({isLeaving}) => !isLeaving);
   }
 
   /** Takes note that a server takes no new work. */
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -235,6 +235,15 @@
   t.false(await bench.registry.tryRevoke(SERVICE));
 });
 
+test('a daemon that is stopped before it has heard its server goes on beside a server that stays', t => {
+  const bench = new Bench();
+  t.false(bench.registry.hasStayingServer());
+  bench.earlier = [createEarlier('i-1/1', 0)];
+  t.true(bench.registry.hasStayingServer());
+  bench.earlier = [{...createEarlier('i-1/1', 0), isLeaving: true}];
+  t.false(bench.registry.hasStayingServer());
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
