Hear a server that was started after the clock stepped back

Callers saw the keys of a host without a server until the next restart of its daemon: the lives of a server are ordered by the time of day of their starts, and a life that began after the clock had stepped back was taken for an earlier one for good, each of its heartbeats answered as stale. The order now counts only as long as the last life is heard; after three seconds of silence any other life is taken. A late heartbeat of a dead life is then granted keys that nobody holds, for three seconds at most, and its keys move only after the grant has ended. The test failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -275,7 +275,9 @@
   ): HoldGrant | 'stale' | undefined {
     const {info, instanceId, report} = heartbeat;
     const last = this.lastHeartbeats.get(info.service);
-    if (last !== undefined && isOvertaken(heartbeat, last)) return 'stale';
+    const isSilent = !this.entries.has(info.service);
+    if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
+      return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
     const hasLeft = this.leftInstances.has(instanceId);
     this.receiveAnnouncement(
@@ -574,10 +576,18 @@
   return isSameAddress && a.life === b.life;
 }
 
-function isOvertaken(next: ServerHeartbeat, last: ServerHeartbeat): boolean {
+/**
+ * Tells whether a heartbeat comes after a later one. The time of day orders lives as long as the last one is
+ * heard; it may have stepped back before the next one began.
+ */
+function isOvertaken(
+  next: ServerHeartbeat,
+  last: ServerHeartbeat,
+  isLastSilent: boolean,
+): boolean {
   return next.info.life === last.info.life
     ? next.sequence <= last.sequence
-    : next.bornAtMs < last.bornAtMs;
+    : next.bornAtMs < last.bornAtMs && !isLastSilent;
 }
 
 function keepVoidToken(info: ServerInfo, known: ServerInfo): ServerInfo {
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -244,6 +244,17 @@
   t.false(bench.registry.hasStayingServer());
 });
 
+test('a server that was started after the clock stepped back is heard once the earlier life is silent', t => {
+  const bench = new Bench();
+  bench.registry.start();
+  bench.sendHeartbeat();
+  const next = {instanceId: 'i-2', bornAtMs: BORN_MS - 500};
+  t.is(bench.sendHeartbeat(next), 'stale');
+  for (let ms = 0; ms <= SERVER_SILENCE_MS; ms += 100) bench.system.shift(100);
+  t.not(bench.sendHeartbeat({...next, sequence: 2}), 'stale');
+  t.is(bench.published[0]?.life, `i-2/${BORN_MS - 500}`);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
