Take a release from the word of the life that holds the keys only

Callers could see two holders of a key (OWNER). A daemon grants nothing to a new life until the grants of the life before have ended; what the new life says of its keys now waits as long. The test failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -145,9 +145,10 @@
     const book = this.getBook(service);
     if (entry === undefined || !(book instanceof AnsweredGrants))
       return undefined;
+    // What a life holds says nothing of the grants that an earlier one was given.
+    if (this.isHeldBack(service)) return undefined;
     const mayGrant =
       !this.unjudged.has(service) &&
-      !this.isHeldBack(service) &&
       this.isChecking(service) &&
       this.owned.mayGrant(service);
     const voidToken = entry.info.voidToken ?? 0;
@@ -357,7 +358,8 @@
       return;
     }
     this.removeEntry(service, 'it left');
-    this.getBook(service).endProvedGone();
+    // A server that was lost before it may still hold a grant.
+    if (!this.isHeldBack(service)) this.getBook(service).endProvedGone();
     this.publishServers();
   }
 
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -255,6 +255,22 @@
   t.is(bench.published[0]?.life, `i-2/${BORN_MS - 500}`);
 });
 
+test('a slice is not released by the word of another life than the one that holds it', t => {
+  const bench = createKnownBench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  bench.sendHeartbeat({sequence: 1});
+  release();
+  bench.sendHeartbeat({sequence: 2, report: HELD});
+  t.is(bench.held.length, 0, 'the server has been told');
+  bench.sendHeartbeat({instanceId: 'i-2', bornAtMs: BORN_MS + 1});
+  t.deepEqual(release(), []);
+  bench.system.shift(LEASE_MS);
+  t.is(release().length, 1);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
