--- a/packages/daemon/src/grant_book.ts
+++ b/packages/daemon/src/grant_book.ts
@@ -25,10 +25,14 @@
   getAcknowledgedEnd(): Instant;
   /** Tells whether no grant that was ever given lets a server start a request now. */
   hasLapsed(): boolean;
+  /** Monotonic time at which every grant that was ever given has ended. */
+  getLatestEndMs(): number;
   /** Milliseconds for which the server has left a grant unanswered. */
   getUnansweredMs(): number;
   /** Forgets what the server has taken: it is gone, or another one came. */
   reset(): void;
+  /** Notes that the server which had the grants is proved to be gone, so that they bind nobody. */
+  endProvedGone(): void;
   /** Brings the server its newest grant, where the daemon is the one to call. */
   send(server: Dispatcher): Promise<void>;
   /** Makes the server confirm its list of slices; true once it has. */
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -17,6 +17,7 @@
   type AdmissionStop,
   type HoldGrant,
   type HoldReport,
+  isWithin,
 } from './answered_grants.js';
 import type {GrantBook, GrantSource} from './grant_book.js';
 import {HeartbeatWait} from './heartbeat_wait.js';
@@ -66,8 +67,7 @@
   private readonly lastInfos = new Map<ServiceName, ServerInfo>();
   /** Servers whose life has not been compared yet, because the store has not been read. */
   private readonly unjudged = new Set<ServiceName>();
-  private readonly startedAtMs: number;
-  private hasJudged = false;
+  private readonly startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
   private readonly leftInstances = new Set<string>();
@@ -89,7 +89,7 @@
     private readonly createPool: ServerPoolFactory = createServerPool,
     private readonly options: RegistryOptions = PUSHING,
   ) {
-    this.startedAtMs = system.getNow().monotonicMs;
+    this.startedAt = system.getNow();
     this.answerWait = new HeartbeatWait(system);
   }
 
@@ -145,18 +145,41 @@
     const book = this.getBook(service);
     if (entry === undefined || !(book instanceof AnsweredGrants))
       return undefined;
+    // What a life holds says nothing of the grants that an earlier one was given.
+    if (this.isHeldBack(service)) return undefined;
     const mayGrant =
       !this.unjudged.has(service) &&
-      !this.isHeldBack(service) &&
       this.isChecking(service) &&
       this.owned.mayGrant(service);
     const voidToken = entry.info.voidToken ?? 0;
     const grant = book.answerReport(report, mayGrant, voidToken, waitedMs);
-    if (grant !== undefined)
+    if (grant !== undefined) {
       this.writeLeftOut(service, book.getLeftOutRows(), grant.keys.length);
+      this.writeChange(service, report, grant);
+    }
     return grant;
   }
 
+  /** Writes a line when an answer changes what the server holds. */
+  private writeChange(
+    service: ServiceName,
+    {held}: HoldReport,
+    {keys, holdMs}: HoldGrant,
+  ): void {
+    const added = keys.filter(row => !isWithin(row, held)).length;
+    const leftOut = held.filter(row => !isWithin(row, keys)).length;
+    if (added === 0 && leftOut === 0) return;
+    const generation = this.owned.getAssignment(service)?.generation ?? 0;
+    this.log.writeInfo('An answer changes what the server holds.', {
+      service,
+      life: this.entries.get(service)?.info.life ?? '',
+      generation,
+      added,
+      leftOut,
+      holdMs,
+    });
+  }
+
   /** Writes a warning when more keys than before are not granted for want of room. */
   private writeLeftOut(
     service: ServiceName,
@@ -174,7 +197,7 @@
 
   /** Tells whether grants of a service travel in the answers to heartbeats. */
   isAnswering(service: ServiceName): boolean {
-    return this.options.isAnswering && this.isChecking(service);
+    return this.options.isAnswering && this.mayCheck(service);
   }
 
   /**
@@ -196,7 +219,6 @@
   /** Gives a server that is new here the token below which its slices were given to an earlier life. */
   private judgeLives(): void {
     if (!this.keeper.isJoined()) return;
-    if (!this.hasJudged) this.recordEarlierGrants();
     for (const service of this.unjudged) {
       const entry = this.entries.get(service);
       if (entry !== undefined)
@@ -231,16 +253,6 @@
     return this.lastInfos.get(service) ?? earlier;
   }
 
-  /** Grants that the run before this process gave end with its lease, at the latest. */
-  private recordEarlierGrants(): void {
-    this.hasJudged = true;
-    for (const {service} of this.keeper.getEarlierServers()) {
-      const book = this.getBook(service);
-      if (book instanceof AnsweredGrants)
-        book.recordEarlierGrants(LEASE_DURATION_MS);
-    }
-  }
-
   /**
    * A server that leaves when it is first heard here may have had its leave acknowledged by an earlier
    * run of this daemon, at a time that is not known.
@@ -264,7 +276,9 @@
   ): HoldGrant | 'stale' | undefined {
     const {info, instanceId, report} = heartbeat;
     const last = this.lastHeartbeats.get(info.service);
-    if (last !== undefined && isOvertaken(heartbeat, last)) return 'stale';
+    const isSilent = !this.entries.has(info.service);
+    if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
+      return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
     const hasLeft = this.leftInstances.has(instanceId);
     this.receiveAnnouncement(
@@ -314,7 +328,12 @@
 
   /** Tells whether a server of this host is to go on when this daemon starts again. */
   hasStayingServer(): boolean {
-    return [...this.entries.values()].some(({info}) => !info.isLeaving);
+    const heard = [...this.entries.values()].map(({info}) => info);
+    const known =
+      heard.length > 0 || this.hasDroppedEarlier
+        ? heard
+        : this.keeper.getEarlierServers();
+    return known.some(({isLeaving}) => !isLeaving);
   }
 
   /** Takes note that a server takes no new work. */
@@ -339,6 +358,8 @@
       return;
     }
     this.removeEntry(service, 'it left');
+    // A server that was lost before it may still hold a grant.
+    if (!this.isHeldBack(service)) this.getBook(service).endProvedGone();
     this.publishServers();
   }
 
@@ -349,6 +370,12 @@
       : undefined;
   }
 
+  /** Returns how long the last grant of a service is in force from now, in milliseconds. */
+  getGrantLeftMs(service: ServiceName): number {
+    const nowMs = this.system.getNow().monotonicMs;
+    return Math.max(0, this.getBook(service).getLatestEndMs() - nowMs);
+  }
+
   /** Tells whether a server may still be given work: it stays, or began to leave a moment ago. */
   isAccepting(service: ServiceName): boolean {
     const nowMs = this.system.getNow().monotonicMs;
@@ -385,12 +412,11 @@
    * server has acknowledged a grant without it, or every grant has lapsed.
    */
   async tryRevoke(service: ServiceName): Promise<boolean> {
-    if (!this.isChecking(service)) return true;
+    if (!this.mayCheck(service)) return true;
     const sender = this.getBook(service);
     if (sender.hasLapsed()) return true;
     const entry = this.entries.get(service);
-    if (entry === undefined) return !this.heldBack.has(service);
-    if (this.isHeldBack(service)) return false;
+    if (entry === undefined || this.isHeldBack(service)) return false;
     return sender.tryConfirm(entry.pool);
   }
 
@@ -401,6 +427,9 @@
       if (await this.tryRevoke(service)) continue;
       while (!sender.hasLapsed()) await waitFor(this.system, CHECK_INTERVAL_MS);
     }
+    // A service that was not heard of here has no book; an earlier run may have granted its keys.
+    while (this.getAgeMs() < LEASE_DURATION_MS)
+      await waitFor(this.system, CHECK_INTERVAL_MS);
   }
 
   /** Sends every server its slices and the end of the lease. */
@@ -461,8 +490,8 @@
     if (entry === undefined) return;
     this.log.writeWarning('A backend server is gone.', {service, reason});
     this.entries.delete(service);
-    this.unjudged.delete(service);
-    this.lastInfos.set(service, entry.info);
+    const isCompared = !this.unjudged.delete(service);
+    if (isCompared) this.lastInfos.set(service, entry.info);
     this.getBook(service).reset();
     entry.policy.refuseAll('DD3024');
     if (this.options.isAnswering) void this.endPool(entry.pool);
@@ -485,17 +514,27 @@
 
   /** Takes servers of the earlier run out of the session that have not been heard since the start. */
   private dropEarlierServers(): void {
-    const ageMs = this.system.getNow().monotonicMs - this.startedAtMs;
-    const isDue = !this.hasDroppedEarlier && ageMs > SERVER_SILENCE_MS;
+    const isDue =
+      !this.hasDroppedEarlier && this.getAgeMs() > SERVER_SILENCE_MS;
     if (!isDue || this.keeper.getEarlierServers().length === 0) return;
     this.hasDroppedEarlier = true;
     this.publishServers();
   }
 
+  /** Returns for how long this process has run, in milliseconds. */
+  private getAgeMs(): number {
+    return this.system.getNow().monotonicMs - this.startedAt.monotonicMs;
+  }
+
   private isChecking(service: ServiceName): boolean {
     return this.getRules(service)?.fencing === 'checked';
   }
 
+  /** Tells whether servers may hold grants; they may while no rules say otherwise. */
+  private mayCheck(service: ServiceName): boolean {
+    return this.getRules(service)?.fencing !== 'none';
+  }
+
   private isHeldBack(service: ServiceName): boolean {
     if (this.heldBack.has(service) && this.getBook(service).hasLapsed())
       this.heldBack.delete(service);
@@ -521,10 +560,15 @@
       this.endLostServer(service, 'it refuses connections');
       this.publishServers();
     };
-    const {system, log, options} = this;
+    const {system, log, options, startedAt} = this;
+    // The run before this process may have granted until the end of its lease.
+    const earlierEnd = {
+      monotonicMs: startedAt.monotonicMs + LEASE_DURATION_MS,
+      wallMs: startedAt.wallMs + LEASE_DURATION_MS,
+    };
     return options.isAnswering
-      ? new AnsweredGrants(system, source, options)
-      : new GrantSender(service, system, source, onRefused, log);
+      ? new AnsweredGrants(system, source, options, earlierEnd.monotonicMs)
+      : new GrantSender(service, system, source, onRefused, log, earlierEnd);
   }
 }
 
@@ -534,10 +578,18 @@
   return isSameAddress && a.life === b.life;
 }
 
-function isOvertaken(next: ServerHeartbeat, last: ServerHeartbeat): boolean {
+/**
+ * Tells whether a heartbeat comes after a later one. The time of day orders lives as long as the last one is
+ * heard; it may have stepped back before the next one began.
+ */
+function isOvertaken(
+  next: ServerHeartbeat,
+  last: ServerHeartbeat,
+  isLastSilent: boolean,
+): boolean {
   return next.info.life === last.info.life
     ? next.sequence <= last.sequence
-    : next.bornAtMs < last.bornAtMs;
+    : next.bornAtMs < last.bornAtMs && !isLastSilent;
 }
 
 function keepVoidToken(info: ServerInfo, known: ServerInfo): ServerInfo {
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -7,11 +7,12 @@
 import {createLog} from '@dottereldrift/core/log.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {ServiceRules} from '@dottereldrift/manifest/types.js';
+import {LEASE_DURATION_MS} from '@dottereldrift/membership/constants.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
-import {ServerRegistry} from '../src/server_registry.js';
+import {SERVER_SILENCE_MS, ServerRegistry} from '../src/server_registry.js';
 import type {ServerHeartbeat} from '../src/server_types.js';
 import {ManualSystem} from './fakes.js';
 
@@ -33,6 +34,10 @@
   readonly isLeaving?: boolean;
 };
 
+function runPromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 class Bench {
   readonly system = new ManualSystem();
   published: readonly ServerInfo[] = [];
@@ -40,6 +45,8 @@
   isJoined = true;
   mayGrant = true;
   isExpecting = false;
+  held = ASSIGNMENT.slices;
+  rules: ServiceRules | undefined = RULES;
   readonly registry = new ServerRegistry(
     this.system,
     {
@@ -56,11 +63,11 @@
     () => new FifoPolicy(this.system, 1, () => 10),
     {
       getAssignment: () => ASSIGNMENT,
-      getHeldSlices: () => ASSIGNMENT.slices,
+      getHeldSlices: () => this.held,
       mayGrant: () => this.mayGrant,
       isExpecting: () => this.isExpecting,
     },
-    () => RULES,
+    () => this.rules,
     createLog('test', 'hidden', 'error'),
     undefined,
     {
@@ -177,6 +184,93 @@
   t.false(bench.registry.isAccepting(SERVICE));
 });
 
+test('a daemon that has just started releases no slice before the grants of the run before it have ended', t => {
+  const bench = new Bench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  t.deepEqual(release(), []);
+  t.is(bench.held.length, 1, 'requests are admitted until the server is told');
+  bench.system.shift(LEASE_DURATION_MS);
+  release();
+  t.is(release().length, 1);
+});
+
+test('a daemon that has just started does not end its session before the grants of the run before it have ended', async t => {
+  const bench = new Bench();
+  let isEnded = false;
+  const ended = bench.registry.endGrants().then(() => {
+    isEnded = true;
+  });
+  await runPromises();
+  t.false(isEnded);
+  for (let ms = 0; ms < LEASE_DURATION_MS; ms += 100) {
+    bench.system.shift(100);
+    await runPromises();
+  }
+  await ended;
+  t.true(isEnded);
+});
+
+test('a life that fell silent before it could be compared is still a new life when it returns', t => {
+  const bench = new Bench();
+  bench.earlier = [createEarlier('i-0/1', 3)];
+  bench.isJoined = false;
+  bench.registry.start();
+  bench.sendHeartbeat({sequence: 1});
+  for (let ms = 0; ms <= SERVER_SILENCE_MS; ms += 100) bench.system.shift(100);
+  t.is(bench.registry.getServer(SERVICE), undefined);
+  bench.sendHeartbeat({sequence: 2});
+  bench.isJoined = true;
+  bench.system.shift(100);
+  t.is(bench.published[0]?.voidToken, ASSIGNMENT.generation);
+});
+
+test('while no rules are known, keys are released by the word of the server or the end of its grants only', async t => {
+  const bench = new Bench();
+  bench.sendHeartbeat();
+  bench.rules = undefined;
+  t.true(bench.registry.isAnswering(SERVICE));
+  t.false(await bench.registry.tryRevoke(SERVICE));
+});
+
+test('a daemon that is stopped before it has heard its server goes on beside a server that stays', t => {
+  const bench = new Bench();
+  t.false(bench.registry.hasStayingServer());
+  bench.earlier = [createEarlier('i-1/1', 0)];
+  t.true(bench.registry.hasStayingServer());
+  bench.earlier = [{...createEarlier('i-1/1', 0), isLeaving: true}];
+  t.false(bench.registry.hasStayingServer());
+});
+
+test('a server that was started after the clock stepped back is heard once the earlier life is silent', t => {
+  const bench = new Bench();
+  bench.registry.start();
+  bench.sendHeartbeat();
+  const next = {instanceId: 'i-2', bornAtMs: BORN_MS - 500};
+  t.is(bench.sendHeartbeat(next), 'stale');
+  for (let ms = 0; ms <= SERVER_SILENCE_MS; ms += 100) bench.system.shift(100);
+  t.not(bench.sendHeartbeat({...next, sequence: 2}), 'stale');
+  t.is(bench.published[0]?.life, `i-2/${BORN_MS - 500}`);
+});
+
+test('a slice is not released by the word of another life than the one that holds it', t => {
+  const bench = createKnownBench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  bench.sendHeartbeat({sequence: 1});
+  release();
+  bench.sendHeartbeat({sequence: 2, report: HELD});
+  t.is(bench.held.length, 0, 'the server has been told');
+  bench.sendHeartbeat({instanceId: 'i-2', bornAtMs: BORN_MS + 1});
+  t.deepEqual(release(), []);
+  bench.system.shift(LEASE_MS);
+  t.is(release().length, 1);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
