Refuse request targets with bytes outside printable ASCII on every machine

Callers saw a request whose path held the byte 0xE9 run, answered 200, where the daemon runs on arm64; on x86-64 it was refused with 400, not-run, DD3030. The HTTP parser of Node compares bytes as the C type char, which is signed on x86-64 and unsigned on arm64, so it takes bytes from 0x80 there. It takes tab and form feed on both: these went on to the owner and failed only at the HTTP client.

The listener now looks at the target itself, in one hook before any handler, so callers', peers' and routed listeners refuse it before anything is run or forwarded, with the answer that the parser's refusal gets. The cost is one search of the target by a regular expression per request.

--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -55,6 +55,7 @@
 const REQUEST_HEAD_TIMEOUT_MS = 10_000;
 /** Time in which a whole request must have come in. */
 const REQUEST_TIMEOUT_MS = 600_000;
+const NOT_PRINTABLE_ASCII = /[^\x21-\x7e]/;
 
 /** Creates a listener with the bounds of this daemon. */
 export function createListener(limits: Limits): FastifyInstance {
@@ -80,6 +81,17 @@
   });
   app.removeAllContentTypeParsers();
   app.server.maxConnections = limits.callerConnections;
+  app.addHook('onRequest', (request, reply, done) => {
+    if (!NOT_PRINTABLE_ASCII.test(request.raw.url ?? '')) {
+      done();
+      return;
+    }
+    // The HTTP parser refuses such bytes on some processors and takes them on others.
+    reply.hijack();
+    const reason = 'its target has bytes outside printable ASCII';
+    writeProblem(reply.raw, createHttpProblem(400, reason));
+    request.raw.resume();
+  });
   return app;
 }
 
--- a/packages/daemon/test/request_listener.test.ts
+++ b/packages/daemon/test/request_listener.test.ts
@@ -175,6 +175,31 @@
   await app.close();
 });
 
+for (const source of ['caller', 'peer'] as const) {
+  test(`a target with bytes outside printable ASCII is refused before it is run, from a ${source}`, async t => {
+    const {app, port, seen} = await startBench(source);
+    for (const byte of ['\t', '\f', '\x80', '\xe9', '\xff']) {
+      for (const target of [
+        `/services/menu/keys/${byte}/x`,
+        `${PATH}?a=${byte}`,
+        `/other/${byte}`,
+      ]) {
+        const answer = await sendBytes(
+          port,
+          createRequest(`GET ${target}`, ''),
+        );
+        t.is(
+          formatAnswer(answer),
+          '400 not-run DD3030',
+          JSON.stringify(target),
+        );
+      }
+    }
+    t.deepEqual(seen, []);
+    await app.close();
+  });
+}
+
 test('internal headers of a caller are dropped, and those of a peer are read', async t => {
   const headers = [
     'dottereldrift-remaining-ms: 5',
--- a/packages/daemon/test/routed_listener.test.ts
+++ b/packages/daemon/test/routed_listener.test.ts
@@ -163,3 +163,26 @@
   t.is(answer.headers.get('dottereldrift-retry-after-ms'), '10');
   await app.close();
 });
+
+for (const [name, prefix] of [
+  ['caller', ''],
+  ['peer', ROUTED_PREFIX],
+] as const) {
+  test(`a routed target with bytes outside printable ASCII is refused before it is run, from a ${name}`, async t => {
+    const {app, handled, port} = await openBench(false);
+    const envelope = `${ROUTED_HEADER}: menu menu 100 read 1 5 10`;
+    for (const byte of ['\t', '\f', '\x80', '\xe9', '\xff']) {
+      const socket = connect(port, '127.0.0.1');
+      const target = `${prefix}/menu/${byte}`;
+      const head = `GET ${target} HTTP/1.1\r\nhost: shop.example\r\n${envelope}`;
+      socket.write(`${head}\r\n\r\n`, 'latin1');
+      const [chunk] = (await once(socket, 'data')) as [Buffer];
+      const answer = chunk.toString('latin1');
+      t.regex(answer, /^HTTP\/1.1 400 [^]*dottereldrift-outcome: not-run/);
+      t.regex(answer, /dottereldrift-code: DD3030/);
+      socket.destroy();
+    }
+    t.deepEqual(handled, []);
+    await app.close();
+  });
+}
