Take the keys of a release as they are when the server is heard, not when it is asked

Callers of the keys got no answer for as long as the owner lived: a slice on the move stayed stopped at its owner and was never released. Found by reading, reproduced by the test. The range of a release was that of the slice when the release was asked for. A coordinator that cuts a slice and moves one part asks for that part by the same start and token, also of an owner that does not know of the cut yet. The owner then waited for its server to let go of the part that stays too, which the server holds by the same token.

A slice only shrinks under its token, so what the server has been told covers what the slice is later, and the range is now read when the server's report is read. A release of a slice that is not known any more no longer keeps heartbeats from waiting for news, until another release is asked for.

The test of a slice that is cut while it is let go failed before. The test of a slice that the owner does not know yet passed before: such a release was dropped at once. It is kept, for no other test held that.

--- a/packages/daemon/src/answered_grants.ts
+++ b/packages/daemon/src/answered_grants.ts
@@ -11,7 +11,7 @@
   isOverlapping,
   type KeyRange,
 } from '@dottereldrift/ownership/key_range.js';
-import {findSliceIndex} from '@dottereldrift/ownership/slices.js';
+import {findSlice, findSliceIndex} from '@dottereldrift/ownership/slices.js';
 import type {Slice, SliceRef} from '@dottereldrift/ownership/types.js';
 
 import type {GrantBook, GrantSource} from './grant_book.js';
@@ -66,7 +66,6 @@
 
 interface Release {
   readonly ref: SliceRef;
-  readonly range: KeyRange | undefined;
   state: ReleaseState;
   handover: string;
 }
@@ -150,7 +149,9 @@
 
   /** Tells whether the server is to let keys go, or has not said yet that it did. */
   isReleasing(): boolean {
-    return [...this.releases.values()].some(({state}) => state !== 'released');
+    return [...this.releases.values()].some(
+      ({state, ref}) => state !== 'released' && this.isKnown(ref),
+    );
   }
 
   /** Tells whether the answer to a heartbeat would change what the server holds, or has it say so soon. */
@@ -190,15 +191,15 @@
 
   /**
    * Asks for slices to be let go. Admission goes on until the server's next heartbeat, whose answer
-   * leaves them out; a server that is silent loses them when its grants end.
+   * leaves them out; a server that is silent loses them when its grants end. A slice that this daemon does
+   * not know with the same start and token is not let go: it grants those keys as part of another slice.
    */
   askRelease(refs: readonly SliceRef[], stopAdmission: AdmissionStop): void {
     this.stopAdmission = stopAdmission;
     for (const ref of refs) {
       const name = formatRef(ref);
-      if (this.releases.has(name)) continue;
-      const range = this.findRange(ref.start);
-      this.releases.set(name, {ref, range, state: 'asked', handover: ''});
+      if (this.releases.has(name) || !this.isKnown(ref)) continue;
+      this.releases.set(name, {ref, state: 'asked', handover: ''});
     }
     this.dropForgotten();
     if (this.hasLapsed()) this.stopAsked();
@@ -209,7 +210,8 @@
     const isLapsed = this.hasLapsed();
     return refs.flatMap(ref => {
       const release = this.releases.get(formatRef(ref));
-      if (release === undefined || this.isOffered(ref)) return [];
+      const isStopped = this.isKnown(ref) && !this.isOffered(ref);
+      if (release === undefined || !isStopped) return [];
       if (release.state !== 'released' && !isLapsed) return [];
       const {handover} = release;
       return [handover === '' ? ref : {...ref, handover}];
@@ -218,8 +220,10 @@
 
   private recordReleases({held, freed}: HoldReport): void {
     for (const release of this.releases.values()) {
-      const {range} = release;
-      if (release.state !== 'left-out') continue;
+      const {ref, state} = release;
+      if (state !== 'left-out' || !this.isKnown(ref)) continue;
+      // The slice may have been cut since the server was told; it never grows under its token.
+      const range = this.findRange(ref.start);
       const row = range && freed.find(keys => isCovering(keys, range));
       if (row !== undefined) release.handover = row.handover;
       const isHeld =
@@ -230,7 +234,7 @@
 
   private stopAsked(): void {
     const asked = [...this.releases.values()].filter(
-      release => release.state === 'asked',
+      ({state, ref}) => state === 'asked' && this.isKnown(ref),
     );
     if (asked.length === 0) return;
     this.stopAdmission(asked.map(release => release.ref));
@@ -239,14 +243,17 @@
 
   /** Drops releases of slices that this daemon does not know under their tokens any more. */
   private dropForgotten(): void {
-    const slices = this.source.getAssignment()?.slices ?? [];
     for (const [name, {ref}] of this.releases) {
-      const slice = slices[findSliceIndex(slices, ref.start)];
-      const isKnown = slice?.start === ref.start && slice.token === ref.token;
-      if (!isKnown) this.releases.delete(name);
+      if (!this.isKnown(ref)) this.releases.delete(name);
     }
   }
 
+  private isKnown(ref: SliceRef): boolean {
+    const slices = this.source.getAssignment()?.slices ?? [];
+    const slice = findSlice(slices, ref.start);
+    return slice?.start === ref.start && slice.token === ref.token;
+  }
+
   private isOffered(ref: SliceRef): boolean {
     return this.source
       .getSlices()
--- a/packages/daemon/test/answered_grants.test.ts
+++ b/packages/daemon/test/answered_grants.test.ts
@@ -28,6 +28,7 @@
 
 class Bench {
   readonly system = new ManualSystem();
+  assigned: readonly Slice[] = [FIRST, SECOND];
   slices: readonly Slice[] = [FIRST, SECOND];
   stopped: SliceRef[] = [];
   leaseEnd: Instant | undefined;
@@ -40,7 +41,7 @@
         getAssignment: (): Assignment => ({
           service: 'menu',
           generation: 4,
-          slices: [FIRST, SECOND],
+          slices: this.assigned,
           writer: SELF,
         }),
         getSlices: () => this.slices,
@@ -178,3 +179,43 @@
   t.is(small.book.getLeftOutRows(), 1);
   t.false(small.book.isGranted(SECOND), 'what is left out is not served');
 });
+
+test('a slice that was cut out meanwhile is not released by a daemon that does not know of the cut', t => {
+  const bench = new Bench();
+  bench.assigned = [FIRST];
+  bench.slices = [FIRST];
+  t.true(bench.book.hasLapsed());
+  const part = {start: HALF, token: FIRST.token};
+  const release = () => {
+    bench.book.askRelease([part], () => {});
+    return bench.book.findReleased([part]);
+  };
+  t.deepEqual(release(), []);
+  const grant = bench.book.answerReport(NOTHING, true, 0);
+  t.deepEqual(grant?.keys, [{first: 0, last: 65_535, token: 3, handover: ''}]);
+  bench.book.answerReport(NOTHING, true, 0);
+  t.deepEqual(release(), [], 'the server holds the keys');
+  bench.assigned = [FIRST, createSlice(HALF, FIRST.token)];
+  bench.slices = bench.assigned;
+  t.deepEqual(release(), [], 'they are still offered');
+});
+
+test('a slice that is cut while it is let go is released without the part that stays', t => {
+  const bench = new Bench();
+  bench.assigned = [FIRST];
+  bench.slices = [FIRST];
+  bench.book.answerReport(NOTHING, true, 0);
+  bench.book.askRelease([FIRST], () => {
+    bench.slices = [];
+  });
+  const held = [{first: 0, last: 65_535, token: FIRST.token}];
+  bench.book.answerReport({held, freed: []}, true, 0);
+  const part = createSlice(HALF, FIRST.token);
+  bench.assigned = [FIRST, part];
+  bench.slices = [part];
+  const kept = [{first: 32_768, last: 65_535, token: FIRST.token}];
+  const freed = [{first: 0, last: 32_767, handover: 'abc'}];
+  bench.book.answerReport({held: kept, freed}, true, 0);
+  t.deepEqual(bench.book.findReleased([FIRST]), [{...FIRST, handover: 'abc'}]);
+  t.false(bench.book.isReleasing());
+});
