Decide placement only with a view that is as new as the assignment

Callers saw keys run at two servers (OWNER), tokens rising, on hosts that had done nothing wrong: a coordinator took all slices from members that had just started again and gave them to others at once, while their servers went on with grants of the present tokens.

A coordinator whose update of an assignment is refused reads the assignment again, alone. That one may name a member that has just followed the run before it, whose session the view does not have yet when its relay is behind or gone. The view knew the session of the earlier run, of another incarnation, and took the owner for ended. The update was conditional on the version of the assignment only, which was the newest, so it took effect.

--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -184,6 +184,8 @@
     rules: ServiceRules,
   ): Promise<boolean> {
     const present = this.view.getAssignment(service);
+    // The update is conditional on the assignment alone; what else decides must be as new.
+    if (!this.view.isComplete(present?.version ?? 0)) return true;
     const eligible = this.getEligible(service);
     if (present === undefined && !this.isFirstPlacementDue(service, eligible))
       return false;
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -99,7 +99,10 @@
       .filter(session => !session.isEnded);
   }
 
-  /** Tells whether a member is known to have ended for good. */
+  /**
+   * Tells whether a member is known to have ended for good. One that an object names whose version is not
+   * complete here may be later than the session that is known of its host.
+   */
   isEnded(member: Member): boolean {
     const entry = this.sessions.get(member.host);
     if (entry === undefined) return false;
@@ -169,6 +172,14 @@
     return this.revision;
   }
 
+  /**
+   * Tells whether everything is known that the store had at a version. Objects are also read and written one
+   * at a time, so one may be known while another that is older and that it rests on is not.
+   */
+  isComplete(version: number): boolean {
+    return this.revision >= version;
+  }
+
   /** Notes that everything up to a revision is known. */
   setRevision(revision: number): void {
     this.revision = Math.max(this.revision, revision);
--- /dev/null
+++ b/packages/daemon/test/coordinator.test.ts
@@ -0,0 +1,144 @@
+/**
+ * Tests of what a coordinator decides from a view that is behind the store.
+ */
+import test from 'ava';
+import * as E from 'fp-ts/lib/Either.js';
+
+import {createLog} from '@dottereldrift/core/log.js';
+import type {Member} from '@dottereldrift/core/types.js';
+import {
+  encodeSession,
+  getSessionKey,
+} from '@dottereldrift/membership/session_record.js';
+import type {Session} from '@dottereldrift/membership/types.js';
+import {
+  encodeAssignment,
+  getAssignmentKey,
+} from '@dottereldrift/ownership/assignment_record.js';
+import {createSlices} from '@dottereldrift/ownership/slices.js';
+import {MemoryStore} from '@dottereldrift/store/memory_store.js';
+
+import {Coordinator} from '../src/coordinator.js';
+import {LoadBook} from '../src/load_book.js';
+import {PlacementPlanner} from '../src/placement_planner.js';
+import {ACCEPTED_MANIFEST_KEY, StoreView} from '../src/store_view.js';
+import {StoreWatcher} from '../src/store_watcher.js';
+import {ManualSystem} from './fakes.js';
+
+const SERVICE = 'menu';
+const LOG = createLog('test', 'hidden', 'error');
+/** The choice of coordinators by hash falls on this host for the service. */
+const SELF: Member = {host: 'h3', incarnation: 'a'};
+const OTHER: Member = {host: 'h2', incarnation: 'a'};
+const RESTARTED: Member = {host: 'h2', incarnation: 'b'};
+const RULES = {division: 'byRange', fencing: 'checked', slicesPerServer: 1};
+const PASS_MS = 600;
+
+function runPromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+function createSession(member: Member, follows: readonly string[]): Session {
+  const address = {ip: '127.0.0.1', port: 1};
+  return {
+    member,
+    dataCentre: 'dc1',
+    region: 'r1',
+    peerAddress: address,
+    callerPort: 1,
+    witnesses: [],
+    servers: [
+      {service: SERVICE, address, slots: 6, connections: 10, isLeaving: false},
+    ],
+    isEnded: false,
+    isLeaving: false,
+    follows,
+  };
+}
+
+class Bench {
+  readonly system = new ManualSystem();
+  readonly store = new MemoryStore(this.system);
+  readonly view = new StoreView(this.system, LOG);
+  readonly watcher = new StoreWatcher(this.store, this.view, LOG);
+  readonly coordinator = new Coordinator(
+    this.system,
+    this.store,
+    this.view,
+    {
+      getClient: () => {
+        throw new Error('no peer is called');
+      },
+    },
+    () => SELF,
+    () => true,
+    () => Promise.resolve([]),
+    new PlacementPlanner(this.view, new LoadBook(this.system, 1_000), {
+      maxDeviation: 0.2,
+      mergeFactor: 2,
+    }),
+    LOG,
+  );
+
+  async write(key: string, version: number, value: Uint8Array) {
+    const written = await this.store.updateObject(key, version, value)();
+    if (E.isLeft(written)) throw new Error(written.left.text);
+    return {key, version: written.right, value};
+  }
+
+  writeSession(session: Session, version = 0) {
+    const key = getSessionKey(session.member.host);
+    return this.write(key, version, encodeSession(session));
+  }
+
+  async writeManifest(): Promise<void> {
+    const manifest = {services: {[SERVICE]: RULES}};
+    const accepted = {generation: 1, sourceVersion: 1, manifest};
+    const value = Buffer.from(JSON.stringify(accepted));
+    await this.write(ACCEPTED_MANIFEST_KEY, 0, value);
+  }
+
+  /** Lets the coordinator decide once more. */
+  async runDecision(): Promise<void> {
+    this.system.shift(PASS_MS);
+    for (let pass = 0; pass < 4; pass++) await runPromises();
+  }
+
+  getOwners() {
+    const slices = this.view.getAssignment(SERVICE)?.assignment.slices;
+    return slices?.map(({owner, token}) => ({owner, token}));
+  }
+}
+
+test('a coordinator that knows an assignment, and not yet the session of an owner that it names, takes nothing from that owner', async t => {
+  const bench = new Bench();
+  await bench.writeManifest();
+  await bench.writeSession(createSession(SELF, []));
+  const before = await bench.writeSession(createSession(OTHER, []));
+  await bench.watcher.tryFollow(0);
+  const restarted = createSession(RESTARTED, [OTHER.incarnation]);
+  await bench.writeSession(restarted, before.version);
+  const slices = createSlices(2).map(slice => ({
+    ...slice,
+    owner: RESTARTED,
+    token: 3,
+  }));
+  const value = encodeAssignment({
+    service: SERVICE,
+    generation: 4,
+    slices,
+    writer: RESTARTED,
+  });
+  const key = getAssignmentKey(SERVICE);
+  bench.view.applyObject(await bench.write(key, 0, value));
+
+  void bench.coordinator.run();
+  for (let pass = 0; pass < 4; pass++) await bench.runDecision();
+  const held = [RESTARTED, RESTARTED].map(owner => ({owner, token: 3}));
+  t.deepEqual(bench.getOwners(), held);
+
+  await bench.watcher.tryFollow(0);
+  await bench.runDecision();
+  t.deepEqual(bench.getOwners(), held);
+  bench.coordinator.stop();
+});
--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -34,6 +34,16 @@
   }
 });
 
+test('a coordinator that is behind the store does not take a restarted member for an ended one', async t => {
+  const kinds: readonly FaultKind[] = [
+    'store-cut',
+    'daemon-killed',
+    'hot-keys-change',
+  ];
+  const {violations} = await runSoak({seed: 30_003, kinds});
+  t.deepEqual(violations, []);
+});
+
 test('no two servers hold a key while faults of all kinds strike', async t => {
   for (let seed = 1; seed <= CI_SEEDS; seed++) {
     const {violations, takenCount, completed} = await runSoak({seed});
