Join when the view has what the run before this process could grant from

A server's new life gets the slices under tokens above the newest generation that its daemon knows. A daemon that has just started can know less than the run before it: a peer or a relay that is behind has given it the view, or an object could not be read. That its session is in force proves nothing about the assignments.

The run before it wrote and read nothing after this session took its place, so all that it can have granted from is older than the version of this session. The daemon now has joined once its view has everything up to that version; it compares lives, publishes servers, grants and says that it is ready from then on. The test failed before.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -89,6 +89,8 @@
   private follows: readonly Incarnation[] = [];
   private earlierServers: readonly ServerInfo[] = [];
   private isFirstMember = true;
+  /** Version of the first session of this process that came into force. */
+  private joinedVersion = Infinity;
   /** Whether this member has held its lease, so that grants of it may be in force. */
   private hasHeld = false;
   private readonly rejoinListeners: Array<() => void> = [];
@@ -131,9 +133,12 @@
     return this.writer.inForce?.session;
   }
 
-  /** Tells whether this daemon's first session is in force, so that it knows what ran here before. */
+  /**
+   * Tells whether this daemon's first session has come into force and all older objects are known, so that it
+   * knows what ran here before and under which tokens.
+   */
   isJoined(): boolean {
-    return this.writer.inForce !== undefined || !this.isFirstMember;
+    return this.view.isComplete(this.joinedVersion);
   }
 
   /** Returns the servers of the run of this daemon before this process, as its session named them. */
@@ -302,7 +307,9 @@
     const step = applyWriterEvent(this.writer, event);
     this.writer = step.state;
     this.applyWitnessSets(setsBefore);
-    if (isFirst && step.state.inForce !== undefined) {
+    const {inForce} = step.state;
+    if (isFirst && inForce !== undefined) {
+      this.joinedVersion = Math.min(this.joinedVersion, inForce.version);
       this.log.writeInfo('The session is in force.', {
         member: formatMember(this.member),
       });
--- /dev/null
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -0,0 +1,102 @@
+/**
+ * Tests of what a daemon that starts again knows of the run before it.
+ */
+import test from 'ava';
+import * as E from 'fp-ts/lib/Either.js';
+
+import {createLog} from '@dottereldrift/core/log.js';
+import {
+  encodeSession,
+  getSessionKey,
+} from '@dottereldrift/membership/session_record.js';
+import {
+  encodeAssignment,
+  getAssignmentKey,
+} from '@dottereldrift/ownership/assignment_record.js';
+import {createSlices} from '@dottereldrift/ownership/slices.js';
+import {MemoryStore} from '@dottereldrift/store/memory_store.js';
+
+import {SessionKeeper} from '../src/session_keeper.js';
+import {StoreView} from '../src/store_view.js';
+import {StoreWatcher} from '../src/store_watcher.js';
+import {ManualSystem} from './fakes.js';
+
+const LOG = createLog('test', 'hidden', 'error');
+const SERVICE = 'menu';
+const EARLIER = {host: 'h1', incarnation: 'a'};
+const LOCATION = {
+  dataCentre: 'dc1',
+  region: 'r1',
+  peerAddress: {ip: '127.0.0.1', port: 1},
+  callerPort: 2,
+};
+const IDENTITY = {...LOCATION, host: EARLIER.host};
+
+function runPromises(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+class Bench {
+  readonly system = new ManualSystem();
+  readonly store = new MemoryStore(this.system);
+  readonly view = new StoreView(this.system, LOG);
+  readonly watcher = new StoreWatcher(this.store, this.view, LOG);
+  readonly keeper = new SessionKeeper(
+    IDENTITY,
+    this.system,
+    this.store,
+    this.view,
+    {
+      open: () => Promise.resolve(),
+      sendHeartbeat: () => {},
+      sendAnswer: () => {},
+      close: () => {},
+    },
+    {tryEnd: () => Promise.resolve(false)},
+    LOG,
+  );
+
+  async writeEarlierSession(): Promise<void> {
+    const value = encodeSession({
+      ...LOCATION,
+      member: EARLIER,
+      witnesses: [EARLIER],
+      servers: [],
+      isEnded: false,
+      isLeaving: false,
+    });
+    const key = getSessionKey(EARLIER.host);
+    await this.store.updateObject(key, 0, value)();
+  }
+
+  /** Writes an assignment; returns its version. */
+  async writeAssignment(generation: number, version: number): Promise<number> {
+    const slices = createSlices(1).map(slice => ({
+      ...slice,
+      owner: EARLIER,
+      token: generation,
+    }));
+    const assignment = {service: SERVICE, generation, slices, writer: EARLIER};
+    const key = getAssignmentKey(SERVICE);
+    const value = encodeAssignment(assignment);
+    const written = await this.store.updateObject(key, version, value)();
+    if (E.isLeft(written)) throw new Error(written.left.text);
+    return written.right;
+  }
+}
+
+test('a daemon has joined when it knows the assignments that the run before it could grant from', async t => {
+  const bench = new Bench();
+  await bench.writeEarlierSession();
+  const version = await bench.writeAssignment(1, 0);
+  await bench.watcher.tryFollow(0);
+  await bench.writeAssignment(2, version);
+  void bench.keeper.run();
+  await runPromises();
+  t.deepEqual(bench.keeper.getSession()?.follows, [EARLIER.incarnation]);
+  t.false(bench.keeper.isJoined());
+  await bench.watcher.tryFollow(0);
+  t.is(bench.view.getAssignment(SERVICE)?.assignment.generation, 2);
+  t.true(bench.keeper.isJoined());
+  await bench.keeper.stop(true);
+});
