Take an unheard server out of the session also when that is in force late

Callers saw the keys of a host go without a server for good: a daemon that started while the store did not answer, and whose server had ended meanwhile, published the server that the session of the run before it names, and never took it back. The server is taken out three seconds after the start, once; nothing is published before the session is in force, so that once had passed without effect. It is now due when the daemon has joined. Found by reading; the test failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -515,7 +515,9 @@
   /** Takes servers of the earlier run out of the session that have not been heard since the start. */
   private dropEarlierServers(): void {
     const isDue =
-      !this.hasDroppedEarlier && this.getAgeMs() > SERVER_SILENCE_MS;
+      !this.hasDroppedEarlier &&
+      this.keeper.isJoined() &&
+      this.getAgeMs() > SERVER_SILENCE_MS;
     if (!isDue || this.keeper.getEarlierServers().length === 0) return;
     this.hasDroppedEarlier = true;
     this.publishServers();
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -244,6 +244,18 @@
   t.false(bench.registry.hasStayingServer());
 });
 
+test('a server of the run before that is not heard is taken out of the session, however late that is in force', t => {
+  const bench = new Bench();
+  bench.isJoined = false;
+  bench.earlier = [createEarlier('i-1/1', 0)];
+  bench.published = bench.earlier;
+  bench.registry.start();
+  bench.system.shift(SERVER_SILENCE_MS + 1);
+  bench.isJoined = true;
+  bench.system.shift(100);
+  t.deepEqual(bench.published, []);
+});
+
 test('a server that was started after the clock stepped back is heard once the earlier life is silent', t => {
   const bench = new Bench();
   bench.registry.start();
