Keep the leave of a server with the life that said it

A server that starts again under the identifier that it had got no keys and no requests for as long as its daemon ran: the leave of the life before was kept by the identifier, so the new life counted as leaving. It is kept by the life now. Found by reading; the test failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -70,7 +70,8 @@
   private readonly startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
-  private readonly leftInstances = new Set<string>();
+  /** Lives of servers that have said that they end. */
+  private readonly leftLives = new Set<string>();
   /** Rows that the last answer to each service's server had no room for. */
   private readonly leftOutRows = new Map<ServiceName, number>();
   private readonly answerWait: HeartbeatWait;
@@ -280,7 +281,7 @@
     if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
       return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
-    const hasLeft = this.leftInstances.has(instanceId);
+    const hasLeft = this.leftLives.has(info.life ?? instanceId);
     this.receiveAnnouncement(
       {...info, isLeaving: info.isLeaving || hasLeft},
       instanceId,
@@ -320,7 +321,7 @@
   receiveLeave(instanceId: string): void {
     for (const [service, entry] of this.entries) {
       if (entry.instanceId !== instanceId) continue;
-      this.leftInstances.add(instanceId);
+      this.leftLives.add(entry.info.life ?? instanceId);
       this.log.writeInfo('A backend server has said that it ends.', {service});
       this.removeServer(service);
     }
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -256,6 +256,18 @@
   t.deepEqual(bench.published, []);
 });
 
+test('a server that starts again under its identifier is not taken for leaving by the leave of the life before', t => {
+  const bench = new Bench();
+  bench.registry.start();
+  bench.sendHeartbeat();
+  bench.registry.receiveLeave('i-1');
+  bench.sendHeartbeat({sequence: 2});
+  t.true(bench.published[0]?.isLeaving);
+  bench.sendHeartbeat({sequence: 1, bornAtMs: BORN_MS + 1});
+  t.false(bench.published[0]?.isLeaving);
+  t.true(bench.registry.isAccepting(SERVICE));
+});
+
 test('a server that was started after the clock stepped back is heard once the earlier life is silent', t => {
   const bench = new Bench();
   bench.registry.start();
