Play a slow store, a slow host and clock steps of servers in the soak

The soak's servers read a time of day that never stepped, so the order of their lives was never wrong, and their clocks ran 2% slow only by a division that made it less. Views of daemons fell behind only when a host was cut off from the store. Servers now have the time of day of their host, and two kinds of faults are new: answers of the store, or all messages of a host, late by up to 0.9 s each way.

--- a/packages/scenario/src/soak/fault_plan.ts
+++ b/packages/scenario/src/soak/fault_plan.ts
@@ -21,6 +21,8 @@
   'store-out',
   'store-late',
   'store-answers-lost',
+  'store-slow',
+  'host-slow',
   'heartbeats-late',
   'all-daemons-killed',
   'all-lose-power',
--- a/packages/scenario/src/soak/heartbeat_server.ts
+++ b/packages/scenario/src/soak/heartbeat_server.ts
@@ -19,6 +19,7 @@
 const RELEASE_INTERVAL_MS = 100;
 /** Time after which an answer to a heartbeat is taken for lost. */
 const ANSWER_LIMIT_MS = 1_000;
+/** Most by which the server's clock runs slow. */
 const MAX_SLOWNESS = 0.02;
 const SERVICE_MS = 20;
 const LONG_SERVICE_MS = 900;
@@ -51,7 +52,7 @@
   readonly place: Place;
   readonly life: string;
   private readonly bornAtMs: number;
-  /** Times by which the server's clock runs slow. */
+  /** Time that passes while the server's clock counts one millisecond, in milliseconds. */
   private readonly slowness: number;
   private held: readonly HeldKeys[] = [];
   private holdEndMs = -Infinity;
@@ -66,7 +67,7 @@
     const {process} = this.place;
     this.bornAtMs = Math.floor(process.getNow().wallMs);
     this.life = `${options.instanceId}/${this.bornAtMs}`;
-    this.slowness = 1 + MAX_SLOWNESS * process.getRandom();
+    this.slowness = 1 / (1 - MAX_SLOWNESS * process.getRandom());
   }
 
   start(): void {
--- a/packages/scenario/src/soak/soak_host.ts
+++ b/packages/scenario/src/soak/soak_host.ts
@@ -6,7 +6,7 @@
 import type {LogFields} from '@dottereldrift/core/log.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
 
-import {type VirtualClock, VirtualProcess} from '../virtual_clock.js';
+import type {VirtualClock} from '../virtual_clock.js';
 import {
   type PeerFinder,
   VirtualChannel,
@@ -175,7 +175,15 @@
   private createServer(): HeartbeatServer {
     const {clock, network, judge} = this.surroundings;
     const name = `${this.name}/server`;
-    const place = {name, process: new VirtualProcess(name, clock)};
+    const {offsets} = this;
+    // The steady clock of the server does not stand still with that of its daemon.
+    const serverOffsets: Readonly<ClockOffsets> = {
+      suspendedMs: 0,
+      get wallMs() {
+        return offsets.wallMs;
+      },
+    };
+    const place = {name, process: new SoakProcess(name, clock, serverOffsets)};
     const isSame =
       this.instances > 0 && clock.getRandom() < SAME_INSTANCE_SHARE;
     if (!isSame) this.instances += 1;
--- a/packages/scenario/src/soak/soak_process.ts
+++ b/packages/scenario/src/soak/soak_process.ts
@@ -16,7 +16,7 @@
   constructor(
     name: string,
     clock: ConstructorParameters<typeof VirtualProcess>[1],
-    private readonly offsets: ClockOffsets,
+    private readonly offsets: Readonly<ClockOffsets>,
   ) {
     super(name, clock);
   }
--- a/packages/scenario/src/soak/soak_world.ts
+++ b/packages/scenario/src/soak/soak_world.ts
@@ -49,6 +49,7 @@
 const RESTART_SPREAD_MS = 1_500;
 const LATE_SPREAD_MS = 5_000;
 const HEARTBEAT_DELAY_MS = 900;
+const SLOW_DELAY_MS = 900;
 const STEP_MS = 2_000;
 /** Longest time that a key may be without a server once no fault strikes any more: that of a host that is lost. */
 export const DARK_LIMIT_MS = 5_000;
@@ -298,14 +299,12 @@
         return () => {
           state.isLosingAnswers = false;
         };
+      case 'store-slow':
+        return this.startDelay(STORE_PLACE, SLOW_DELAY_MS);
+      case 'host-slow':
+        return this.startDelay(host.name, SLOW_DELAY_MS);
       case 'heartbeats-late':
-        this.network.setDelayMs(
-          host.server.place.name,
-          HEARTBEAT_DELAY_MS * this.clock.getRandom(),
-        );
-        return () => {
-          this.network.setDelayMs(host.server.place.name, 0);
-        };
+        return this.startDelay(host.server.place.name, HEARTBEAT_DELAY_MS);
       case 'all-daemons-killed':
         for (const other of this.hosts) this.killDaemon(other);
         return nothing;
@@ -318,6 +317,13 @@
     }
   }
 
+  private startDelay(place: string, maxDelayMs: number): () => void {
+    this.network.setDelayMs(place, maxDelayMs * this.clock.getRandom());
+    return () => {
+      this.network.setDelayMs(place, 0);
+    };
+  }
+
   private killDaemon(host: SoakHost): void {
     host.daemon.place.process.kill();
     this.startLater(() => {
