Take a heartbeat without a list of held keys for no word on them

Callers could see two holders of a key (OWNER). It now releases nothing and renews nothing. The test of the translation failed before.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -139,9 +139,10 @@
    */
   answerReport(
     service: ServiceName,
-    report: HoldReport,
+    report: HoldReport | undefined,
     waitedMs: number,
   ): HoldGrant | undefined {
+    if (report === undefined) return undefined;
     const entry = this.entries.get(service);
     const book = this.getBook(service);
     if (entry === undefined || !(book instanceof AnsweredGrants))
@@ -294,6 +295,7 @@
    * long it waited, in milliseconds.
    */
   async waitForNews({info, report}: ServerHeartbeat): Promise<number> {
+    if (report === undefined) return 0;
     const {service} = info;
     const book = this.getBook(service);
     // What the server has let go is awaited by the keys' next owner.
--- a/packages/daemon/src/server_types.ts
+++ b/packages/daemon/src/server_types.ts
@@ -28,7 +28,8 @@
   readonly bornAtMs: number;
   /** Grows with every heartbeat of one life. */
   readonly sequence: number;
-  readonly report: HoldReport;
+  /** What the server says of its keys; undefined when it says nothing, which proves nothing. */
+  readonly report: HoldReport | undefined;
 }
 
 /** How grants reach the servers, and what bounds them. */
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -279,6 +279,22 @@
   t.is(bench.published[0]?.life, `i-2/${BORN_MS - 500}`);
 });
 
+test('a slice is not released by a heartbeat that says nothing of the keys that are held', t => {
+  const bench = createKnownBench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  bench.sendHeartbeat({sequence: 1});
+  release();
+  bench.sendHeartbeat({sequence: 2, report: HELD});
+  t.is(bench.held.length, 0, 'the server has been told');
+  t.is(bench.sendHeartbeat({sequence: 3, report: undefined}), undefined);
+  t.deepEqual(release(), []);
+  bench.sendHeartbeat({sequence: 4});
+  t.is(release().length, 1);
+});
+
 test('a slice is not released by the word of another life than the one that holds it', t => {
   const bench = createKnownBench();
   const release = () =>
--- a/packages/platform/src/heartbeats.ts
+++ b/packages/platform/src/heartbeats.ts
@@ -7,7 +7,10 @@
 
 import type {Log} from '@dottereldrift/core/log.js';
 import type {Address, ServiceName} from '@dottereldrift/core/types.js';
-import type {HoldGrant} from '@dottereldrift/daemon/answered_grants.js';
+import type {
+  HoldGrant,
+  HoldReport,
+} from '@dottereldrift/daemon/answered_grants.js';
 import type {ServerRegistry} from '@dottereldrift/daemon/server_registry.js';
 import type {ServerHeartbeat} from '@dottereldrift/daemon/server_types.js';
 import {checkValue} from '@dottereldrift/manifest/check.js';
@@ -76,8 +79,10 @@
   return E.right(translateHeartbeat(checked.right, instanceId));
 }
 
+type WireHeartbeat = z.infer<typeof heartbeatSchema>;
+
 function translateHeartbeat(
-  wire: z.infer<typeof heartbeatSchema>,
+  wire: WireHeartbeat,
   instanceId: string,
 ): ServerHeartbeat {
   const bornAtMs = wire.born ?? 0;
@@ -93,19 +98,24 @@
     instanceId,
     bornAtMs,
     sequence: wire.seq,
-    report: {
-      held: (wire.holds ?? []).map(([first, last, token]) => ({
-        first,
-        last,
-        token,
-      })),
-      freed: (wire.freed ?? []).map(([first, last, handover]) => ({
+    report: translateReport(wire.holds, wire.freed),
+  };
+}
+
+function translateReport(
+  holds: WireHeartbeat['holds'],
+  freed: WireHeartbeat['freed'],
+): HoldReport | undefined {
+  return (
+    holds && {
+      held: holds.map(([first, last, token]) => ({first, last, token})),
+      freed: (freed ?? []).map(([first, last, handover]) => ({
         first,
         last,
         handover,
       })),
-    },
-  };
+    }
+  );
 }
 
 function isExpected(
--- a/packages/platform/test/translation.test.ts
+++ b/packages/platform/test/translation.test.ts
@@ -39,6 +39,14 @@
   t.snapshot(parseHeartbeat(HEARTBEAT, 'i-1'));
 });
 
+test('a heartbeat without a list of held keys is not one that holds none', t => {
+  const {holds, ...rest} = HEARTBEAT;
+  t.true(holds.length > 0);
+  const parsed = parseHeartbeat(rest, 'i-1');
+  t.true(E.isRight(parsed));
+  t.is(E.isRight(parsed) ? parsed.right.report : null, undefined);
+});
+
 test('whatever is put into a field of a heartbeat, it is taken or refused without a throw', t => {
   const names = Object.keys(HEARTBEAT);
   fc.assert(
@@ -50,6 +58,7 @@
         Number.isInteger(info.slots) &&
         info.slots >= 1 &&
         Number.isInteger(sequence) &&
+        report !== undefined &&
         report.held.every(row => Number.isInteger(row.token))
       );
     }),
