--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -70,7 +70,8 @@
   private readonly startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
-  private readonly leftInstances = new Set<string>();
+  /** Lives of servers that have said that they end. */
+  private readonly leftLives = new Set<string>();
   /** Rows that the last answer to each service's server had no room for. */
   private readonly leftOutRows = new Map<ServiceName, number>();
   private readonly answerWait: HeartbeatWait;
@@ -138,9 +139,10 @@
    */
   answerReport(
     service: ServiceName,
-    report: HoldReport,
+    report: HoldReport | undefined,
     waitedMs: number,
   ): HoldGrant | undefined {
+    if (report === undefined) return undefined;
     const entry = this.entries.get(service);
     const book = this.getBook(service);
     if (entry === undefined || !(book instanceof AnsweredGrants))
@@ -280,7 +282,7 @@
     if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
       return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
-    const hasLeft = this.leftInstances.has(instanceId);
+    const hasLeft = this.leftLives.has(info.life ?? instanceId);
     this.receiveAnnouncement(
       {...info, isLeaving: info.isLeaving || hasLeft},
       instanceId,
@@ -293,6 +295,7 @@
    * long it waited, in milliseconds.
    */
   async waitForNews({info, report}: ServerHeartbeat): Promise<number> {
+    if (report === undefined) return 0;
     const {service} = info;
     const book = this.getBook(service);
     // What the server has let go is awaited by the keys' next owner.
@@ -320,7 +323,7 @@
   receiveLeave(instanceId: string): void {
     for (const [service, entry] of this.entries) {
       if (entry.instanceId !== instanceId) continue;
-      this.leftInstances.add(instanceId);
+      this.leftLives.add(entry.info.life ?? instanceId);
       this.log.writeInfo('A backend server has said that it ends.', {service});
       this.removeServer(service);
     }
@@ -515,7 +518,9 @@
   /** Takes servers of the earlier run out of the session that have not been heard since the start. */
   private dropEarlierServers(): void {
     const isDue =
-      !this.hasDroppedEarlier && this.getAgeMs() > SERVER_SILENCE_MS;
+      !this.hasDroppedEarlier &&
+      this.keeper.isJoined() &&
+      this.getAgeMs() > SERVER_SILENCE_MS;
     if (!isDue || this.keeper.getEarlierServers().length === 0) return;
     this.hasDroppedEarlier = true;
     this.publishServers();
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -244,6 +244,30 @@
   t.false(bench.registry.hasStayingServer());
 });
 
+test('a server of the run before that is not heard is taken out of the session, however late that is in force', t => {
+  const bench = new Bench();
+  bench.isJoined = false;
+  bench.earlier = [createEarlier('i-1/1', 0)];
+  bench.published = bench.earlier;
+  bench.registry.start();
+  bench.system.shift(SERVER_SILENCE_MS + 1);
+  bench.isJoined = true;
+  bench.system.shift(100);
+  t.deepEqual(bench.published, []);
+});
+
+test('a server that starts again under its identifier is not taken for leaving by the leave of the life before', t => {
+  const bench = new Bench();
+  bench.registry.start();
+  bench.sendHeartbeat();
+  bench.registry.receiveLeave('i-1');
+  bench.sendHeartbeat({sequence: 2});
+  t.true(bench.published[0]?.isLeaving);
+  bench.sendHeartbeat({sequence: 1, bornAtMs: BORN_MS + 1});
+  t.false(bench.published[0]?.isLeaving);
+  t.true(bench.registry.isAccepting(SERVICE));
+});
+
 test('a server that was started after the clock stepped back is heard once the earlier life is silent', t => {
   const bench = new Bench();
   bench.registry.start();
@@ -255,6 +279,22 @@
   t.is(bench.published[0]?.life, `i-2/${BORN_MS - 500}`);
 });
 
+test('a slice is not released by a heartbeat that says nothing of the keys that are held', t => {
+  const bench = createKnownBench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  bench.sendHeartbeat({sequence: 1});
+  release();
+  bench.sendHeartbeat({sequence: 2, report: HELD});
+  t.is(bench.held.length, 0, 'the server has been told');
+  t.is(bench.sendHeartbeat({sequence: 3, report: undefined}), undefined);
+  t.deepEqual(release(), []);
+  bench.sendHeartbeat({sequence: 4});
+  t.is(release().length, 1);
+});
+
 test('a slice is not released by the word of another life than the one that holds it', t => {
   const bench = createKnownBench();
   const release = () =>
