Bound what a backend server may send without end before and in an answer

Bytes of a backend server that are no answer may come without end.

What the HTTP library bounds by itself: the names and values of a head and of trailers together (maxHeaderSize, 16 KiB by default), and what is not HTTP. What it does not, and what only the deadline ended: a reason, empty lines, digits and extensions of a chunk (none of them is kept, so memory stays level), interim answers, and bodies.

Seen to fail before: - a caller that takes nothing, of an answer whose connection ends with it: such an answer is read without a pause, and 64 to 103 MB waited in memory after 0.4 s. Now at most MAX_WAITING_BYTES, 8 MiB, wait; beyond, the answer is cut. - interim answers, a body without a length, and the body of a refusal held their slot until the deadline. Now the attempt ends after 1,000 interim answers or 64 KiB of a body that is not for the caller. What it tells is unchanged: unknown, or not-run where the head said so.

--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -23,6 +23,13 @@
 import {filterHeaders, getHeader, type HeaderMap} from './headers.js';
 import {UploadTooLargeError} from './upload.js';
 
+/** Most bytes of an answer that wait in memory for a caller while the reading cannot pause. */
+export const MAX_WAITING_BYTES = 8 * 1_024 * 1_024;
+/** Most bytes that are read of a body that is not for the caller, so that its connection can go on. */
+const MAX_DROPPED_BYTES = 64 * 1_024;
+/** Most interim answers, with a status below 200, before the answer. */
+const MAX_INTERIM_ANSWERS = 1_000;
+
 /** One attempt. */
 export interface Attempt {
   readonly dispatcher: Dispatcher;
@@ -75,6 +82,10 @@
   private status = 0;
   private hasAnswer = false;
   private mayPause = false;
+  private interimAnswers = 0;
+  private droppedBytes = 0;
+  /** Bytes passed on since the caller last kept up, where the reading cannot pause. */
+  private waitingBytes = 0;
   private failure: AttemptFailure | undefined;
   private giveUpReason: GiveUpReason | undefined;
   private keptHeaders: Record<string, string | string[]> = {};
@@ -122,7 +133,12 @@
     status: number,
     headers: HeaderMap,
   ): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.interimAnswers += 1;
+      if (this.interimAnswers > MAX_INTERIM_ANSWERS)
+        controller.abort(new Error('too many interim answers'));
+      return;
+    }
     if (this.attempt.isForeignAnswer?.(status, headers) === true) {
       this.failure = this.createForeignFailure();
       controller.abort(new Error(this.failure.code));
@@ -150,16 +166,40 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (!this.hasAnswer) return;
+    if (!this.hasAnswer) {
+      this.droppedBytes += chunk.byteLength;
+      if (this.droppedBytes > MAX_DROPPED_BYTES)
+        controller.abort(new Error('the body of a refusal is too large'));
+      return;
+    }
     this.keepChunk(chunk);
     const hasRoom = this.attempt.answer.writeChunk(chunk);
-    if (hasRoom || !this.mayPause) return;
+    if (hasRoom) return;
+    if (!this.mayPause) {
+      this.countWaiting(controller, chunk);
+      return;
+    }
     controller.pause();
     this.attempt.answer.waitForDrain(() => {
       controller.resume();
     });
   }
 
+  /** Cuts an answer of which more waits than is allowed. */
+  private countWaiting(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.waitingBytes === 0) {
+      this.attempt.answer.waitForDrain(() => {
+        this.waitingBytes = 0;
+      });
+    }
+    this.waitingBytes += chunk.byteLength;
+    if (this.waitingBytes > MAX_WAITING_BYTES)
+      controller.abort(new Error('the caller is too slow for the answer'));
+  }
+
   onResponseEnd(
     _controller: Dispatcher.DispatchController,
     trailers: HeaderMap,
@@ -309,7 +349,7 @@
 /**
  * Tells whether a connection goes on after its answer. The HTTP library fails when a connection ends while
  * its reading pauses, so an answer that ends its connection is read without a pause; what the caller
- * cannot take yet waits in memory, at most the whole answer.
+ * cannot take yet waits in memory up to a limit, beyond which the answer is cut.
  */
 function isConnectionKept(headers: HeaderMap): boolean {
   const isDelimited =
