End a connection to a server on which empty lines follow a whole answer

A server that sends empty lines without end behind a whole answer kept its connection: the HTTP library ends a connection on which bytes come without a request, but its parser skips empty lines before a head. The next request went out on it and its caller was told unknown at its deadline (seen in the new case of the test, which failed before).

The connector now ends a connection on which any byte arrives while the library has no request for it, which it shows by letting the process go (unref). A request that is handed to the connection in the same turn as the answer ends is not covered: the library never lets go then. It is told unknown by its deadline, and the connection ends with it.

--- a/packages/daemon/src/connector.ts
+++ b/packages/daemon/src/connector.ts
@@ -1,5 +1,6 @@
 /**
- * Opens connections on which a reset is an error, whatever has come before it. A server that crashes in
+ * Opens connections on which a reset is an error, whatever has come before it, and which end when bytes
+ * come that no request has asked for. A server that crashes in
  * the middle of an answer without a length resets its connection, and such an answer must not seem whole.
  * Two libraries hide the reset: the HTTP library takes a reset after the head of such an answer for its
  * end, and the event loop reports a reset that it reads together with the last bytes as a plain end.
@@ -20,7 +21,10 @@
     connect(options, (...result) => {
       const [error, socket] = result;
       // After an error the library names no socket at all.
-      if (error === null) watchResets(socket);
+      if (error === null) {
+        watchResets(socket);
+        watchStrayBytes(socket);
+      }
       callback(...result);
     });
   };
@@ -40,6 +44,31 @@
   };
 }
 
+/**
+ * Ends a connection on which bytes arrive while no request is under way. The HTTP library does so too,
+ * but for empty lines, which it reads without end.
+ */
+function watchStrayBytes(socket: Socket): void {
+  let isIdle = false;
+  const unref = socket.unref.bind(socket);
+  const write = socket.write.bind(socket) as (...args: unknown[]) => boolean;
+  const push = socket.push.bind(socket);
+  // The library lets go of a connection that it has no request for.
+  socket.unref = () => {
+    isIdle = true;
+    return unref();
+  };
+  socket.write = (...args: unknown[]) => {
+    isIdle = false;
+    return write(...args);
+  };
+  socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+    if (chunk === null || !isIdle) return push(chunk, encoding);
+    socket.destroy(new Error('the server sent bytes without a request'));
+    return false;
+  };
+}
+
 /** Tells whether a connection at its end was reset: not even an empty write is taken then. */
 function isReset(socket: Socket): boolean {
   if (!socket.writable) return false;
--- a/packages/daemon/test/endless_answer.test.ts
+++ b/packages/daemon/test/endless_answer.test.ts
@@ -291,6 +291,12 @@
     part: 'garbage',
     expected: /^200 whole$/,
   },
+  {
+    name: 'empty lines beyond the length',
+    start: OWN_ANSWER,
+    part: '\r\n',
+    expected: /^200 whole$/,
+  },
   {
     name: 'further answers beyond the length',
     start: OWN_ANSWER,
