Tell a request that crosses the end of its connection that it was not run

A daemon that shut down closed its idle connections. A request that a caller had sent by then and that had not been read got no answer: the close reset the connection because of its unread bytes, and the caller had to take the request for unknown ("told unknown (connection)"). No check before the close helps: the bytes may arrive between the last read and the close, the longer the process is held up there, and "connection: close" reaches only callers that get an answer.

The drain now ends an idle connection with a whole answer that nobody asked for: 503, not-run, DD3021, connection: close.

Not covered: a connection that waits to be accepted when the listening socket closes is reset by the kernel.

--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -1,7 +1,7 @@
 /**
  * Writes answers to HTTP connections: what a backend server answered, or a problem of our own.
  */
-import type {ServerResponse} from 'node:http';
+import {type ServerResponse, STATUS_CODES} from 'node:http';
 
 import type {Message} from '@dottereldrift/core/messages.js';
 import type {Outcome} from '@dottereldrift/core/types.js';
@@ -164,6 +164,32 @@
   response.end(body);
 }
 
+/** Returns a problem as a whole answer, for a connection that ends with it. */
+export function formatLastProblem(
+  problem: Problem,
+  status = problem.status,
+  headers: Readonly<Record<string, string>> = {},
+): string {
+  const {outcome, message, retryAfterMs} = problem;
+  const body = formatProblem(problem);
+  const fields = {
+    'content-type': PROBLEM_TYPE,
+    'content-length': String(Buffer.byteLength(body)),
+    [OUTCOME_HEADER]: outcome,
+    [CODE_HEADER]: message.code,
+    ...(retryAfterMs > 0
+      ? {[RETRY_AFTER_MS_HEADER]: String(retryAfterMs)}
+      : {}),
+    ...headers,
+    connection: 'close',
+  };
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(fields).map(([name, value]) => `${name}: ${value}`),
+  ];
+  return `${head.join('\r\n')}\r\n\r\n${body}`;
+}
+
 /** Returns the body of a problem. */
 export function formatProblem(problem: Problem): string {
   const {status, outcome, message} = problem;
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -3,11 +3,14 @@
  */
 import type {FastifyInstance} from 'fastify';
 
+import {createMessage} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Address} from '@dottereldrift/core/types.js';
 
+import {formatLastProblem, type Problem} from './answer_writer.js';
 import type {Entry} from './entry.js';
 import {ExchangeFactory} from './exchange_factory.js';
+import {SHORT_RETRY_MS} from './failures.js';
 import type {HostPlatform} from './host_platform.js';
 import {ListenerDrain} from './listener_drain.js';
 import {addOperatorRoutes, type OperatorParts} from './operator_listener.js';
@@ -27,6 +30,18 @@
 import type {ServerRegistry} from './server_registry.js';
 import type {Settings} from './settings.js';
 
+const UNAVAILABLE = 503;
+/** Time after which a caller finds another daemon, in milliseconds. */
+const ROUTED_RETRY_AFTER_MS = 250;
+
+/** Tells a request that comes to a closing listener that it was not run. */
+const CLOSING_PROBLEM: Problem = {
+  status: UNAVAILABLE,
+  outcome: 'not-run',
+  message: createMessage('DD3021'),
+  retryAfterMs: SHORT_RETRY_MS,
+};
+
 /** What the listeners answer from. */
 export interface ListenerParts {
   readonly settings: Settings;
@@ -79,12 +94,12 @@
   addOperatorRoutes(operators, settings.operatorKey, parts.operators);
   const routedCallers =
     platform && routed && createRoutedListener(parts, platform, routed);
-  const requestApps = [
-    callers,
-    peers,
-    ...(routedCallers === undefined ? [] : [routedCallers]),
-  ];
-  const drains = requestApps.map(app => new ListenerDrain(system, app));
+  const refusal = formatLastProblem(CLOSING_PROBLEM);
+  const drains = [callers, peers].map(
+    app => new ListenerDrain(system, app, refusal),
+  );
+  if (platform && routedCallers)
+    drains.push(createRoutedDrain(system, routedCallers, platform));
   await listen(peers, settings.peerAddress);
   await listen(callers, settings.callerAddress);
   await listen(servers, settings.serverAddress);
@@ -98,6 +113,18 @@
   return {apps: [...apps, ready], drains};
 }
 
+/** Creates the drain of a listener whose callers have a protocol of their own. */
+function createRoutedDrain(
+  system: System,
+  app: FastifyInstance,
+  {protocol}: HostPlatform,
+): ListenerDrain {
+  const problem = {...CLOSING_PROBLEM, retryAfterMs: ROUTED_RETRY_AFTER_MS};
+  const {status, headers} = protocol.createProblemHead(problem);
+  const refusal = formatLastProblem(problem, status, headers);
+  return new ListenerDrain(system, app, refusal);
+}
+
 function createRoutedFactory(
   parts: ListenerParts,
   platform: HostPlatform,
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -2,11 +2,7 @@
  * Listens for requests: the callers' listener passes them to the entry stage, the peers' listener to
  * the owner stage. Both read and write the same way.
  */
-import {
-  type IncomingMessage,
-  type ServerResponse,
-  STATUS_CODES,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 import fastify, {type FastifyInstance} from 'fastify';
@@ -17,9 +13,8 @@
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import {
-  formatProblem,
+  formatLastProblem,
   type Problem,
-  PROBLEM_TYPE,
   writeBareProblem,
   writeForeignProblem,
   writeProblem,
@@ -33,7 +28,6 @@
   type RoutedExchangeFactory,
 } from './routed_exchange_factory.js';
 import {createDefect} from './failures.js';
-import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Limits} from './settings.js';
 
 /** Handles one exchange. */
@@ -255,16 +249,7 @@
   }
   const status = getClientErrorStatus(error.code);
   const problem = createHttpProblem(status, getErrorText(error));
-  const body = formatProblem(problem);
-  const head = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
-    `content-type: ${PROBLEM_TYPE}`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    `${OUTCOME_HEADER}: ${problem.outcome}`,
-    `${CODE_HEADER}: ${problem.message.code}`,
-    'connection: close',
-  ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  socket.end(formatLastProblem(problem));
 }
 
 function getClientErrorStatus(code: string | undefined): number {
