--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -47,6 +47,8 @@
   readonly hasLinks?: boolean;
   /** Program of the servers, called with service, IP number, port and daemon URL. */
   readonly serverMain?: string;
+  /** Program of the daemons, called as the product is; the product when absent. */
+  readonly daemonMain?: string;
   /** Slot policy of the daemons; the default of the settings when absent. */
   readonly slotPolicy?: SlotPolicyName;
   /** Whether daemons follow relays rather than the store; they do when absent. */
@@ -102,7 +104,7 @@
   async startDaemon(host: FleetHost): Promise<FleetProcess> {
     this.writeSettings(host);
     const daemon = new FleetProcess(`daemon ${host.name}`, [
-      BUNDLE,
+      this.options.daemonMain ?? BUNDLE,
       'daemon',
       '--settings',
       host.settingsPath,
