Keep the list of serving hosts until a session or a drain changes

Callers of services that are not divided by key got late answers on large sites, where a hop cost twice that of a small one. For each request, each refusal and each retry the entry built the list of hosts anew from all sessions, and the choice filtered, sorted and weighed all of them several times.

The view keeps its list of live sessions, and the entry the hosts of each service, until a session, a drain or the own data centre changes; lists are compared by identity, so that nothing has to be told of a change. The choice filters only where a host was tried or is ejected, and computes what all hosts share once. What is chosen is the same.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -37,6 +37,7 @@
 import type {Forwarder} from './forwarder.js';
 import type {Owner} from './owner.js';
 import {getPosition} from './request_position.js';
+import {ServingHosts} from './serving_hosts.js';
 import type {StoreView} from './store_view.js';
 
 const ROUTE_WAIT_MS = 10;
@@ -84,6 +85,7 @@
   /** Choice of hosts of the services that are not divided by key. */
   private readonly choices = new Map<ServiceName, HostChoice>();
   private readonly sizes = new AnswerSizes();
+  private readonly hosts: ServingHosts;
 
   constructor(
     private readonly system: System,
@@ -93,7 +95,9 @@
     private readonly selfHost: string,
     /** Second sends of the whole fleet; undefined for the bounds of one daemon. */
     private readonly fleetBudget?: RetryBudgetLimits,
-  ) {}
+  ) {
+    this.hosts = new ServingHosts(view, selfHost);
+  }
 
   /** Handles a request until it is answered or has failed for good. */
   async handle(exchange: Exchange): Promise<AttemptResult> {
@@ -148,7 +152,7 @@
     if (exchange.body.kind === 'stream' && !exchange.body.upload.isUntouched())
       return false;
     if (exchange.abandonment.hasHappened()) return false;
-    return this.getServingHosts(exchange).some(({host}) => !tried.has(host));
+    return this.listHosts(exchange).some(({host}) => !tried.has(host));
   }
 
   /** What has no route for long is refused, so that its caller may use the time that is left. */
@@ -246,7 +250,7 @@
     tried: ReadonlySet<HostName>,
   ): RouteDecision {
     const {service} = exchange.target;
-    const hosts = this.getServingHosts(exchange);
+    const hosts = this.listHosts(exchange);
     const host = this.getChoice(service).choose(hosts, tried);
     const candidate =
       host === undefined ? undefined : this.createCandidate(host);
@@ -254,22 +258,14 @@
     return {kind: 'send', candidate, generation: 0};
   }
 
-  private getServingHosts({
+  private listHosts({
     target: {service},
     kind,
     routed,
   }: Exchange): readonly ServingHost[] {
-    const ownCentre = this.view.getSession(this.selfHost)?.session.dataCentre;
     const distance =
       routed === undefined ? 1 : this.sizes.getDistance(kind.name);
-    return this.view.getLiveSessions().flatMap(session => {
-      const {host} = session.member;
-      const server = session.servers.find(other => other.service === service);
-      const isLeaving = session.isLeaving || this.view.isDraining(host);
-      if (server === undefined || server.isLeaving || isLeaving) return [];
-      const isNear = session.dataCentre === ownCentre;
-      return [{host, slots: server.slots, distance: isNear ? 1 : distance}];
-    });
+    return this.hosts.listHosts(service, distance);
   }
 
   private createCandidate(host: string): Candidate | undefined {
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -47,6 +47,8 @@
 /** The daemon's copy of the store. */
 export class StoreView {
   private readonly sessions = new Map<HostName, VersionedSession>();
+  /** Sessions that have not ended; undefined after a session or a drain has changed. */
+  private live: readonly Session[] | undefined;
   private readonly assignments = new Map<ServiceName, VersionedAssignment>();
   private readonly drains = new Map<HostName, number>();
   private accepted: AcceptedManifest | undefined;
@@ -92,11 +94,15 @@
     return this.sessions.get(host);
   }
 
-  /** Returns the sessions that have not ended. */
+  /**
+   * Returns the sessions that have not ended: the same list until a session or a drain changes, so that
+   * what is derived from it can be kept as long.
+   */
   getLiveSessions(): readonly Session[] {
-    return [...this.sessions.values()]
+    this.live ??= [...this.sessions.values()]
       .map(entry => entry.session)
       .filter(session => !session.isEnded);
+    return this.live;
   }
 
   /** Tells whether a member is known to have ended for good. */
@@ -211,6 +217,7 @@
     if (this.getKnownVersion(key) >= version) return;
     this.deletions.set(key, version);
     this.objects.delete(key);
+    this.live = undefined;
     if (key.startsWith(DRAIN_PREFIX))
       this.drains.delete(key.slice(DRAIN_PREFIX.length));
     if (key.startsWith(SESSION_PREFIX))
@@ -273,6 +280,7 @@
   private applyKnownObject(object: StoredObject): void {
     const {key, version, value} = object;
     if (key.startsWith(SESSION_PREFIX)) {
+      this.live = undefined;
       this.sessions.set(key.slice(SESSION_PREFIX.length), {
         session: parseSession(value),
         version,
@@ -284,6 +292,7 @@
         version,
       });
     } else if (key.startsWith(DRAIN_PREFIX)) {
+      this.live = undefined;
       this.drains.set(key.slice(DRAIN_PREFIX.length), version);
     } else if (key === ACCEPTED_MANIFEST_KEY) {
       this.accepted = chooseNewer(
--- a/packages/routing/src/host_choice.ts
+++ b/packages/routing/src/host_choice.ts
@@ -50,7 +50,8 @@
   ): string | undefined {
     const nowMs = this.system.getNow().monotonicMs;
     this.addRecords(hosts, nowMs);
-    const others = hosts.filter(({host}) => !avoided.has(host));
+    const others =
+      avoided.size === 0 ? hosts : hosts.filter(({host}) => !avoided.has(host));
     const allowed = this.filterEjected(others, hosts.length, nowMs);
     return this.drawBetter(allowed.length > 0 ? allowed : hosts, nowMs);
   }
@@ -108,6 +109,7 @@
           this.getRecord(b.host, nowMs).getEjectedUntilMs() -
           this.getRecord(a.host, nowMs).getEjectedUntilMs(),
       );
+    if (ejected.length === 0) return hosts;
     const most = Math.floor(total * MAX_EJECTED_SHARE);
     const left = new Set(ejected.slice(0, most));
     return hosts.filter(host => !left.has(host));
@@ -124,8 +126,10 @@
     if (first === undefined || hosts.length === 1) return first?.host;
     const step = 1 + this.drawIndex(hosts.length - 1);
     const second = hosts[(index + step) % hosts.length] ?? first;
+    const usualMs = this.computeUsualMs(nowMs);
     const isSecond =
-      this.computeCost(second, nowMs) < this.computeCost(first, nowMs);
+      this.computeCost(second, usualMs, nowMs) <
+      this.computeCost(first, usualMs, nowMs);
     return (isSecond ? second : first).host;
   }
 
@@ -139,15 +143,17 @@
   ): string | undefined {
     let best: string | undefined;
     let bestCost = Infinity;
+    const usualMs = this.computeUsualMs(nowMs);
     const offset = this.drawIndex(hosts.length);
-    hosts.forEach((_, index) => {
+    for (let index = 0; index < hosts.length; index++) {
       const host = hosts[(index + offset) % hosts.length];
-      if (host === undefined) return;
-      const cost = this.computeCost(host, nowMs) * (host.distance ?? 1);
-      if (cost >= bestCost) return;
+      if (host === undefined) continue;
+      const distance = host.distance ?? 1;
+      const cost = this.computeCost(host, usualMs, nowMs) * distance;
+      if (cost >= bestCost) continue;
       best = host.host;
       bestCost = cost;
-    });
+    }
     return best;
   }
 
@@ -155,9 +161,17 @@
     return Math.floor(this.system.getRandom() * length);
   }
 
-  private computeCost({host, slots}: ServingHost, nowMs: number): number {
+  /** Returns the usual latency of the service; of an old one less is left. */
+  private computeUsualMs(nowMs: number): number {
+    return this.usualMs * computeWeight(this.usualSeenAtMs, nowMs);
+  }
+
+  private computeCost(
+    {host, slots}: ServingHost,
+    usualMs: number,
+    nowMs: number,
+  ): number {
     const record = this.getRecord(host, nowMs);
-    const usualMs = this.usualMs * computeWeight(this.usualSeenAtMs, nowMs);
     return record.computeCost(nowMs, usualMs) / Math.max(1, slots);
   }
 
--- a/packages/routing/src/host_record.ts
+++ b/packages/routing/src/host_record.ts
@@ -86,7 +86,10 @@
       MIN_LATENCY_MS,
       this.computeLatencyMs(nowMs, usualMs),
     );
-    const refusals = this.refusals * computeWeight(this.refusedAtMs, nowMs);
+    const refusals =
+      this.refusals === 0
+        ? 0
+        : this.refusals * computeWeight(this.refusedAtMs, nowMs);
     const pressure = 1 + refusals * REFUSAL_COST;
     const warmShare = Math.max(
       LEAST_WARM_SHARE,
