Serve plain routed requests without the framework's routing and hooks

Callers got late answers where daemons were short of processor time. At the rate at which a daemon carries requests, routing, hooks, request and reply objects and the choice of a body parser take longer than the decisions of an entry, though each routed request ends in the one route of its listener, which takes the reply from the framework at once.

Requests that the framework would hand on as they are now go to that route directly: common methods, targets of plain characters and bounded length, media types without parameters; between daemons only with the peer key. All others still pass the framework, with its hooks and refusals.

--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -6,6 +6,7 @@
 import type {System} from '@dottereldrift/core/system.js';
 import type {Address} from '@dottereldrift/core/types.js';
 
+import {KeyCheck} from './access.js';
 import type {Entry} from './entry.js';
 import {ExchangeFactory} from './exchange_factory.js';
 import type {HostPlatform} from './host_platform.js';
@@ -186,13 +187,16 @@
     () => {},
     parts.writeDefect,
   );
-  if (routed !== undefined)
+  if (routed !== undefined) {
+    const access = new KeyCheck(settings.peerKey);
     addRoutedPeerRoutes(
       app,
       routed,
       exchange => owner.handle(exchange),
       parts.writeDefect,
+      ({headers}) => access.isAuthorized(headers.authorization),
     );
+  }
   return app;
 }
 
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -27,6 +27,7 @@
 import type {CallerProtocol} from './caller_protocol.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import {type RequestListener, servePlainRequests} from './plain_requests.js';
 import type {BadRequest} from './request_body.js';
 import {
   ROUTED_PREFIX,
@@ -129,25 +130,34 @@
   });
 }
 
-/** Adds the way of routed requests from other daemons to a listener. */
+/**
+ * Adds the way of routed requests from other daemons to a listener. Requests that are not authorized are left
+ * to the hooks of the listener.
+ */
 export function addRoutedPeerRoutes(
   app: FastifyInstance,
   factory: RoutedExchangeFactory,
   handle: ExchangeHandler,
   writeDefect: DefectWriter,
+  isAuthorized?: (request: IncomingMessage) => boolean,
 ): void {
+  const way: RequestWay = {
+    create: (raw, response) => factory.createFromPeer(raw, response),
+    handle,
+    observe: () => {},
+    writeDefect,
+    writeProblem: writeBareProblem,
+  };
+  const serve: RequestListener = (request, response) => {
+    // The daemon that asked dates the answer for its caller.
+    response.sendDate = false;
+    serveRequest(request, response, way);
+  };
   app.all(`${ROUTED_PREFIX}/*`, (request, reply) => {
     reply.hijack();
-    // The daemon that asked dates the answer for its caller.
-    reply.raw.sendDate = false;
-    serveRequest(request.raw, reply.raw, {
-      create: (raw, response) => factory.createFromPeer(raw, response),
-      handle,
-      observe: () => {},
-      writeDefect,
-      writeProblem: writeBareProblem,
-    });
+    serve(request.raw, reply.raw);
   });
+  servePlainRequests(app, `${ROUTED_PREFIX}/`, serve, isAuthorized);
 }
 
 /** Adds the routes of callers whose requests are selected by host and path to a listener. */
@@ -162,18 +172,23 @@
   app.addContentTypeParser('*', (_request, _payload, done) => {
     done(null);
   });
+  const way: RequestWay = {
+    create: (raw, response) => factory.createFromCaller(raw, response),
+    handle,
+    observe,
+    writeDefect,
+    writeProblem: (response, problem) => {
+      writeForeignProblem(response, protocol, problem);
+    },
+  };
+  const serve: RequestListener = (request, response) => {
+    serveRequest(request, response, way);
+  };
   app.all('/*', (request, reply) => {
     reply.hijack();
-    serveRequest(request.raw, reply.raw, {
-      create: (raw, response) => factory.createFromCaller(raw, response),
-      handle,
-      observe,
-      writeDefect,
-      writeProblem: (response, problem) => {
-        writeForeignProblem(response, protocol, problem);
-      },
-    });
+    serve(request.raw, reply.raw);
   });
+  servePlainRequests(app, '/', serve);
 }
 
 /** How one listener serves requests. */
