--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -7,6 +7,7 @@
 import type {System} from '@dottereldrift/core/system.js';
 import type {Address} from '@dottereldrift/core/types.js';
 
+import {KeyCheck} from './access.js';
 import {formatLastProblem, type Problem} from './answer_writer.js';
 import type {Entry} from './entry.js';
 import {ExchangeFactory} from './exchange_factory.js';
@@ -213,13 +214,16 @@
     () => {},
     parts.writeDefect,
   );
-  if (routed !== undefined)
+  if (routed !== undefined) {
+    const access = new KeyCheck(settings.peerKey);
     addRoutedPeerRoutes(
       app,
       routed,
       exchange => owner.handle(exchange),
       parts.writeDefect,
+      ({headers}) => access.isAuthorized(headers.authorization),
     );
+  }
   return app;
 }
 
