Give nested requests a slot before new work

Cause: the slots know no difference between new work and a request that a run at another server waits for. Both are refused by a bound on waits that fits new work (goal less usual service time), and a call of 15 ms is too near an order of 66 ms for the reservation of short work.

A nested request now goes first while nested requests hold less than two thirds of the slots; above that new work goes first, so that neither is starved. It waits as long as it can end by its deadline. New work counts on the slots that nested requests leave on average, so it is refused at once rather than after a wait. Priorities keep their order among new work: nested requests have an order of their own. A full queue drops new work before nested requests.

--- a/packages/limits/src/adaptive_options.ts
+++ b/packages/limits/src/adaptive_options.ts
@@ -35,6 +35,8 @@
   readonly goalDropFactor: number;
   /** Serves short work before long work that waits: calls of servers hold a slot elsewhere meanwhile. */
   readonly isShortFirst: boolean;
+  /** Share of the slots that nested requests are given before others; 0 for no difference. */
+  readonly nestedShare: number;
   /** Gives callers turns. */
   readonly isFair: boolean;
 }
@@ -55,6 +57,7 @@
   goalFloor: 0,
   goalDropFactor: 0,
   isShortFirst: false,
+  nestedShare: 0,
   isFair: false,
 };
 
@@ -76,5 +79,7 @@
   // A request that was let in is sent away only if the estimate was far off: its caller has waited by then.
   goalDropFactor: 3,
   isShortFirst: true,
+  // Two thirds: what runs elsewhere wait for goes first, and new work keeps a third under any flood of it.
+  nestedShare: 0.67,
   isFair: true,
 };
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -13,6 +13,7 @@
   type KindState,
   type RunningRequest,
 } from './kind_state.js';
+import {countNested, NestedWork} from './nested_work.js';
 import {isOverdue} from './overdue.js';
 import {ShortWork} from './short_work.js';
 import {SlotQueue} from './slot_queue.js';
@@ -34,9 +35,13 @@
   private readonly queue = new SlotQueue();
   private readonly running = new Set<RunningRequest>();
   private readonly order: KindOrder;
+  /** Order among nested requests, so that they leave that of new work as it is. */
+  private readonly nestedOrder: KindOrder;
   private readonly estimator: WaitEstimator;
+  private readonly nestedEstimator: WaitEstimator;
   private readonly meter = new CapacityMeter();
   private readonly shortWork: ShortWork;
+  private readonly nestedWork: NestedWork;
   private readonly startedAtMs: number;
   /** Time at which the queue was last empty. */
   private emptyAtMs: number;
@@ -49,9 +54,12 @@
     private readonly options: AdaptiveOptions,
     private readonly getMaxQueued: () => number,
   ) {
-    this.order = options.isWeighted ? new WeightedOrder() : new ArrivalOrder();
+    this.order = createOrder(options);
+    this.nestedOrder = createOrder(options);
     this.estimator = new WaitEstimator(this.order);
+    this.nestedEstimator = new WaitEstimator(this.nestedOrder);
     this.shortWork = new ShortWork(this.kinds, options.reservedShare);
+    this.nestedWork = new NestedWork(this.kinds, options.nestedShare);
     this.startedAtMs = system.getNow().monotonicMs;
     this.emptyAtMs = this.startedAtMs;
   }
@@ -117,12 +125,12 @@
     const waitMs = this.computeWaitMs(kind, request.caller, nowMs);
     const code =
       this.findTimeRefusal(request, kind, waitMs, nowMs) ??
-      this.findSpaceRefusal(request);
+      this.findSpaceRefusal(request, kind);
     if (code !== undefined) {
       this.refuse(request, kind, code, getRetryAfterMs(waitMs));
       return () => {};
     }
-    if (kind.waiting.getSize() === 0) this.order.addKind(kind);
+    if (kind.waiting.getSize() === 0) this.getOrder(kind).addKind(kind);
     const remove = this.queue.add(request, kind, nowMs);
     this.startSweep();
     this.startWaiting();
@@ -150,6 +158,7 @@
     kind: KindState,
     nowMs: number,
   ): number {
+    if (kind.isNested) return Infinity;
     const {waitMultiple, standingWaitMultiple, goalFloor} = this.options;
     if (goalAtMs !== undefined) {
       const usualMs = kind.estimate.getUsualMs();
@@ -161,8 +170,11 @@
     return getBoundMs(kind, multiple);
   }
 
-  /** Makes room by dropping requests of lower priority, the newest first. */
-  private findSpaceRefusal(request: SlotRequest): MessageCode | undefined {
+  /** Makes room by dropping requests of lower rank, the newest first. */
+  private findSpaceRefusal(
+    request: SlotRequest,
+    kind: KindState,
+  ): MessageCode | undefined {
     const {maxQueuedBytes} = this.options;
     if (request.bytes > maxQueuedBytes) return 'DD3011';
     for (;;) {
@@ -171,7 +183,7 @@
         this.queue.getBytes() + request.bytes <= maxQueuedBytes;
       if (hasRoom) return undefined;
       const victim = this.options.isWeighted
-        ? this.queue.takeVictim(request.priority)
+        ? this.queue.takeVictim(kind)
         : undefined;
       if (victim === undefined) return 'DD3011';
       this.refuseEach([victim], 'DD3025');
@@ -186,7 +198,7 @@
     const running: RunningRequest = {kind, startedAtMs: nowMs};
     this.running.add(running);
     kind.running += 1;
-    this.order.recordStart(kind);
+    this.getOrder(kind).recordStart(kind);
     request.onRun(isServed => {
       this.finishRequest(running, isServed);
     });
@@ -226,14 +238,29 @@
   }
 
   private chooseKind(nowMs: number): KindState | undefined {
-    const {isShortFirst} = this.options;
     const startable = [...this.queue.getKinds()].filter(kind =>
       this.mayStart(kind, nowMs),
     );
-    const short = isShortFirst
-      ? startable.filter(kind => this.getReservedFor(kind, nowMs) === 0)
+    const isNestedFirst = this.nestedWork.isFirst(this.slots, this.running);
+    const first = startable.filter(kind => kind.isNested === isNestedFirst);
+    return this.chooseAmong(first.length > 0 ? first : startable, nowMs);
+  }
+
+  /** Chooses among kinds that are all nested or all new work. */
+  private chooseAmong(
+    kinds: readonly KindState[],
+    nowMs: number,
+  ): KindState | undefined {
+    const [first] = kinds;
+    if (first === undefined) return undefined;
+    const short = this.options.isShortFirst
+      ? kinds.filter(kind => this.getReservedFor(kind, nowMs) === 0)
       : [];
-    return this.order.choose(short.length > 0 ? short : startable);
+    return this.getOrder(first).choose(short.length > 0 ? short : kinds);
+  }
+
+  private getOrder({isNested}: KindState): KindOrder {
+    return isNested ? this.nestedOrder : this.order;
   }
 
   private mayStart(kind: KindState, nowMs: number): boolean {
@@ -262,19 +289,39 @@
     caller: string,
     nowMs: number,
   ): number {
-    const slots = this.getOpenSlots(kind, nowMs);
-    return this.estimator.computeWaitMs(
+    const {isNested} = kind;
+    const waiting = [...this.queue.getKinds()];
+    const alike = waiting.filter(other => other.isNested === isNested);
+    const isContended = alike.length < waiting.length;
+    const estimator = isNested ? this.nestedEstimator : this.estimator;
+    return estimator.computeWaitMs(
       {
         kind,
         caller,
-        slots,
-        waiting: this.queue.getKinds(),
+        slots: this.getUsableSlots(kind, isContended, nowMs),
+        waiting: alike,
         running: this.running,
       },
       nowMs,
     );
   }
 
+  /** Returns the slots that a kind may count on beside nested requests, or as one of them. */
+  private getUsableSlots(
+    kind: KindState,
+    isContended: boolean,
+    nowMs: number,
+  ): number {
+    const openSlots = this.getOpenSlots(kind, nowMs);
+    if (!kind.isNested) {
+      const nested = this.nestedWork.getDemand(this.slots, nowMs);
+      return Math.min(openSlots, this.slots - nested);
+    }
+    return isContended
+      ? Math.min(openSlots, this.nestedWork.getMost(this.slots))
+      : openSlots;
+  }
+
   private findDropReason(
     {request, arrivedAtMs}: Waiting,
     kind: KindState,
@@ -297,6 +344,7 @@
     arrivedAtMs: number,
     nowMs: number,
   ): number {
+    if (kind.isNested) return Infinity;
     const {dropMultiple, standingDropMultiple, goalFloor} = this.options;
     if (goalAtMs !== undefined) {
       const usualMs = kind.estimate.getUsualMs();
@@ -354,22 +402,30 @@
       slots: this.slots,
       openSlots: this.getOpenSlots(kind, nowMs),
       running: this.running.size,
+      nestedRunning: countNested(this.running),
       queued: this.queue.getSize(),
     };
     request.onRefuse({code, retryAfterMs, load});
   }
 
   private getKind(request: SlotRequest): KindState {
-    let kind = this.kinds.get(request.kind);
+    const isNested = request.isNested === true && this.options.nestedShare > 0;
+    const key = `${isNested ? 'nested' : 'new'} ${request.kind}`;
+    let kind = this.kinds.get(key);
     if (kind === undefined) {
-      kind = createKindState(request, this.options.isFair, this.startedAtMs);
-      this.kinds.set(request.kind, kind);
+      const {isFair} = this.options;
+      kind = createKindState({...request, isNested}, isFair, this.startedAtMs);
+      this.kinds.set(key, kind);
     }
     kind.priority = request.priority;
     return kind;
   }
 }
 
+function createOrder({isWeighted}: AdaptiveOptions): KindOrder {
+  return isWeighted ? new WeightedOrder() : new ArrivalOrder();
+}
+
 function getRetryAfterMs(waitMs: number): number {
   const boundedMs = Math.min(MAX_RETRY_AFTER_MS, waitMs);
   return Math.max(MIN_RETRY_AFTER_MS, Math.ceil(boundedMs));
--- a/packages/limits/src/kind_state.ts
+++ b/packages/limits/src/kind_state.ts
@@ -9,6 +9,8 @@
 /** State of one kind. */
 export interface KindState {
   readonly name: string;
+  /** Whether runs that hold slots of other servers wait for its requests. */
+  readonly isNested: boolean;
   readonly estimate: ServiceEstimate;
   readonly waiting: WaitingList;
   priority: number;
@@ -34,6 +36,7 @@
 ): KindState {
   return {
     name: request.kind,
+    isNested: request.isNested === true,
     estimate: new ServiceEstimate(request.expectedServiceMs),
     waiting: new WaitingList(isFair),
     priority: request.priority,
--- a/packages/limits/src/slot_queue.ts
+++ b/packages/limits/src/slot_queue.ts
@@ -5,6 +5,9 @@
 import type {SlotRequest} from './types.js';
 import type {ServingOrder, Waiting} from './waiting_list.js';
 
+/** What decides which requests a full queue drops: new work before nested, then the lower priority. */
+type Rank = Pick<KindState, 'isNested' | 'priority'>;
+
 /** Waiting requests of all kinds. */
 export class SlotQueue {
   private readonly kinds = new Set<KindState>();
@@ -50,14 +53,13 @@
     return waiting;
   }
 
-  /** Removes and returns the newest request of the kind of lowest priority, if it is below the one given. */
-  takeVictim(priority: number): Waiting | undefined {
+  /** Removes and returns the newest request of the kind of lowest rank, if it is below the one given. */
+  takeVictim(claimant: Rank): Waiting | undefined {
     let lowest: KindState | undefined;
     for (const kind of this.kinds) {
-      if (lowest === undefined || kind.priority < lowest.priority)
-        lowest = kind;
+      if (lowest === undefined || isBelow(kind, lowest)) lowest = kind;
     }
-    if (lowest === undefined || lowest.priority >= priority) return undefined;
+    if (lowest === undefined || !isBelow(lowest, claimant)) return undefined;
     return this.take(lowest, 'newest');
   }
 
@@ -80,3 +82,9 @@
     if (kind.waiting.getSize() === 0) this.kinds.delete(kind);
   }
 }
+
+function isBelow(one: Rank, other: Rank): boolean {
+  return one.isNested === other.isNested
+    ? one.priority < other.priority
+    : other.isNested;
+}
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -19,6 +19,8 @@
   readonly caller: string;
   /** Bytes held while the request waits. */
   readonly bytes: number;
+  /** Whether a run that holds a slot of another server waits for the answer. */
+  readonly isNested?: boolean | undefined;
   /** Called when the request has a slot; it ends the slot by calling `finish` once. */
   readonly onRun: (finish: SlotFinish) => void;
   /** Called when the request is refused; it has not been run. */
@@ -34,6 +36,8 @@
   /** Slots that the kind of the request may take. */
   readonly openSlots: number;
   readonly running: number;
+  /** Of the running requests, the nested ones; absent where the policy does not tell them apart. */
+  readonly nestedRunning?: number | undefined;
   readonly queued: number;
 }
 
--- a/packages/limits/src/wait_estimator.ts
+++ b/packages/limits/src/wait_estimator.ts
@@ -12,7 +12,8 @@
   readonly caller: string;
   /** Slots that the kind may take. */
   readonly slots: number;
-  readonly waiting: ReadonlySet<KindState>;
+  /** Kinds that wait and are served by the same order. */
+  readonly waiting: Iterable<KindState>;
   readonly running: ReadonlySet<RunningRequest>;
 }
 
@@ -49,7 +50,7 @@
   return count;
 }
 
-function sumWaitingMs(waiting: ReadonlySet<KindState>): number {
+function sumWaitingMs(waiting: Iterable<KindState>): number {
   let sumMs = 0;
   for (const kind of waiting)
     sumMs += kind.waiting.getSize() * kind.estimate.getTypicalMs();
--- a/packages/limits/test/slot_driver.ts
+++ b/packages/limits/test/slot_driver.ts
@@ -15,6 +15,7 @@
       readonly caller: number;
       readonly bytes: number;
       readonly deadlineMs: number;
+      readonly isNested: boolean;
     }
   | {readonly kind: 'withdraw'; readonly index: number}
   | {readonly kind: 'finish'; readonly index: number}
@@ -50,6 +51,7 @@
       caller: fc.nat(3),
       bytes: fc.nat(400),
       deadlineMs: fc.integer({min: -1, max: 600}),
+      isNested: fc.boolean(),
     }),
   },
   {
@@ -153,6 +155,7 @@
       deadlineAtMs: nowMs + command.deadlineMs,
       caller: `caller-${command.caller}`,
       bytes: command.bytes,
+      isNested: command.isNested,
       onRun: finish => {
         this.expect(one.state === 'waiting', `run while ${one.state}`);
         this.expect(this.count('running') < this.slots, 'no slot was free');
