Tell nested requests by where the requests of a kind come from

What the product knows and the platform's pages say: callers are on all hosts, and an owner hears the service of the host that each request comes from. A kind of which next to none come from the hosts of some service, though sixteen would have, is not sent by callers. A kind that callers begin to send counts as new work again within its next requests; the hosts of a service that has just come start the count anew. Nothing is told between daemons, so a rolling release is not touched.

Refusals say whether a request was nested, and are counted by service, code and that.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
   waitFor,
 } from '@dottereldrift/core/system.js';
 import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
+import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import type {ObjectStore} from '@dottereldrift/store/types.js';
@@ -44,6 +45,7 @@
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import {RefusalLog} from './refusal_log.js';
 import {RequestLog} from './request_log.js';
+import {countHosts} from './service_hosts.js';
 import type {Settings} from './settings.js';
 import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
@@ -201,7 +203,9 @@
         maxGrantBytes: settings.maxGrantBytes,
       },
     );
-    this.owner = new Owner(system, this.keeper, this.registry, limits);
+    this.owner = new Owner(system, this.keeper, this.registry, limits, () =>
+      countHosts(this.view.getLiveSessions()),
+    );
     this.mover = new Mover(
       system,
       this.view,
@@ -256,6 +260,7 @@
     const refusalLog = new RefusalLog(system, this.log.createPart('slots'));
     this.owner.addRefusalListener((exchange, refusal) => {
       refusalLog.observe(exchange, refusal);
+      this.countRefusal(exchange, refusal);
     });
     this.status = new StatusReader(
       system,
@@ -280,6 +285,14 @@
     );
   }
 
+  private countRefusal({target}: Exchange, {code, load}: SlotRefusal): void {
+    this.metrics.addCount('slots.refused', 1, {
+      service: target.service,
+      code,
+      nested: String(load.isNested === true),
+    });
+  }
+
   async start(): Promise<void> {
     await this.openListeners();
     await this.channel.open((datagram, from) => {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -14,6 +14,10 @@
   Slice,
   SliceRef,
 } from '@dottereldrift/ownership/types.js';
+import {
+  type HostCounts,
+  NestedKinds,
+} from '@dottereldrift/routing/nested_kinds.js';
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import {
@@ -61,6 +65,7 @@
 /** Runs requests on this host's backend servers. */
 export class Owner {
   private readonly services = new Map<ServiceName, ServiceState>();
+  private readonly nestedKinds: NestedKinds;
   private isClosing = false;
   private running = 0;
   private onAdmission: AdmissionListener = () => {};
@@ -71,7 +76,10 @@
     private readonly keeper: LeaseView,
     private readonly registry: ServerView,
     private readonly limits: Limits,
-  ) {}
+    countHosts: () => HostCounts = () => new Map(),
+  ) {
+    this.nestedKinds = new NestedKinds(countHosts);
+  }
 
   addAdmissionListener(listener: AdmissionListener): void {
     this.onAdmission = listener;
@@ -264,6 +272,7 @@
 
   private runInSlot(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server} = admitted;
+    const isNested = this.isNested(exchange);
     return new Promise(resolve => {
       let withdraw = () => {};
       const leave = () => {
@@ -284,6 +293,7 @@
         deadlineAtMs: exchange.deadlineAtMs,
         goalAtMs: getGoalAtMs(exchange),
         caller: exchange.caller,
+        isNested,
         bytes:
           exchange.body.kind === 'buffered'
             ? exchange.body.bytes.byteLength
@@ -308,6 +318,12 @@
     });
   }
 
+  /** Tells whether a run at another server waits for the answer. */
+  private isNested({routed, kind}: Exchange): boolean {
+    if (routed === undefined) return false;
+    return this.nestedKinds.observe(kind.name, routed.origin);
+  }
+
   private async sendToServer(admitted: Admitted): Promise<AttemptResult> {
     const {exchange, server} = admitted;
     const {service} = exchange.target;
--- /dev/null
+++ b/packages/daemon/src/service_hosts.ts
@@ -0,0 +1,16 @@
+/**
+ * Counts the hosts of each service.
+ */
+import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {Session} from '@dottereldrift/membership/types.js';
+import type {HostCounts} from '@dottereldrift/routing/nested_kinds.js';
+
+/** Returns how many hosts have a backend server of each service. */
+export function countHosts(sessions: readonly Session[]): HostCounts {
+  const counts = new Map<ServiceName, number>();
+  for (const {servers} of sessions) {
+    for (const {service} of servers)
+      counts.set(service, (counts.get(service) ?? 0) + 1);
+  }
+  return counts;
+}
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -9,11 +9,14 @@
 
 import type {Member} from '@dottereldrift/core/types.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
+import type {SlotRequest} from '@dottereldrift/limits/types.js';
 import type {RequestKind} from '@dottereldrift/manifest/types.js';
 import type {Slice} from '@dottereldrift/ownership/types.js';
+import type {HostCounts} from '@dottereldrift/routing/nested_kinds.js';
 
 import {Abandonment} from '../src/abandonment.js';
-import type {AttemptResult, Exchange} from '../src/exchange.js';
+import type {CallerProtocol} from '../src/caller_protocol.js';
+import type {AttemptResult, Exchange, RoutedRequest} from '../src/exchange.js';
 import {Owner} from '../src/owner.js';
 import type {Limits} from '../src/settings.js';
 import {FakeServer, ManualSystem, RecordingSink} from './fakes.js';
@@ -40,6 +43,22 @@
 const ANSWER =
   'HTTP/1.1 201 Created\r\nset-cookie: a=1\r\nset-cookie: b=2\r\ncontent-length: 4\r\n\r\npaid';
 
+/** Returns what a route says of a request from a host of a service. */
+function createRouted(origin: string): RoutedRequest {
+  const protocol = {
+    createServerHeaders: () => ({}),
+    isForeignAnswer: () => false,
+    isServerRefusal: () => false,
+  } as unknown as CallerProtocol;
+  return {
+    protocol,
+    authority: 'shop.example',
+    requestId: 'a',
+    origin,
+    goalMs: DEADLINE_MS,
+  };
+}
+
 interface Sent {
   readonly result: AttemptResult;
   readonly sink: RecordingSink;
@@ -51,6 +70,7 @@
   member: Member = {host: 'a', incarnation: '1'};
   isHeld = true;
   owner!: Owner;
+  onSlotRequest: (request: SlotRequest) => void = () => {};
   private pool!: Pool;
   private generation = 0;
 
@@ -58,10 +78,15 @@
     this.server = new FakeServer(script);
   }
 
-  async start(slots = 4): Promise<void> {
+  async start(slots = 4, countHosts?: () => HostCounts): Promise<void> {
     const url = await this.server.start();
     this.pool = new Pool(url, {connections: 8});
     const policy = new FifoPolicy(this.system, slots, () => 10);
+    const requestSlot = policy.requestSlot.bind(policy);
+    policy.requestSlot = request => {
+      this.onSlotRequest(request);
+      return requestSlot(request);
+    };
     const info = {
       service: SERVICE,
       address: {ip: '127.0.0.1', port: 1},
@@ -85,6 +110,7 @@
         getGrantEnd: () => ({monotonicMs: 5_000, wallMs: 1_700_000_005_000}),
       },
       LIMITS,
+      countHosts,
     );
     this.applySlice({});
   }
@@ -192,6 +218,23 @@
   await bench.stop();
 });
 
+test('a kind that no caller of other hosts sends asks for its slot as nested', async t => {
+  const bench = new Bench(socket => socket.write(ANSWER));
+  const hosts = new Map([
+    [SERVICE, 3],
+    ['other', 3],
+  ]);
+  await bench.start(4, () => hosts);
+  const asked: Array<boolean | undefined> = [];
+  bench.onSlotRequest = ({isNested}) => asked.push(isNested);
+  const routed = createRouted('other');
+  for (let request = 0; request < 60; request++)
+    await bench.send({routed, idempotencyKey: undefined});
+  t.false(asked[0]);
+  t.true(asked[59]);
+  await bench.stop();
+});
+
 test('a repeat of a running request waits for its answer', async t => {
   let answerFirst = () => {};
   const bench = new Bench(socket => {
--- a/packages/daemon/test/request_log.test.ts
+++ b/packages/daemon/test/request_log.test.ts
@@ -63,7 +63,14 @@
     routed: {requestId: 'abc'},
     receivedAt: system.getNow(),
   } as unknown as Exchange;
-  const load = {slots: 6, openSlots: 4, running: 4, queued: 3};
+  const load = {
+    slots: 6,
+    openSlots: 4,
+    running: 4,
+    isNested: true,
+    nestedRunning: 1,
+    queued: 3,
+  };
   for (let request = 0; request < BURST; request++)
     refusals.observe(exchange, {code: 'DD3011', retryAfterMs: 9.5, load});
   t.is(log.lines.length, MOST_LINES);
--- a/packages/limits/src/adaptive_policy.ts
+++ b/packages/limits/src/adaptive_policy.ts
@@ -402,6 +402,7 @@
       slots: this.slots,
       openSlots: this.getOpenSlots(kind, nowMs),
       running: this.running.size,
+      isNested: kind.isNested,
       nestedRunning: countNested(this.running),
       queued: this.queue.getSize(),
     };
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -36,7 +36,9 @@
   /** Slots that the kind of the request may take. */
   readonly openSlots: number;
   readonly running: number;
-  /** Of the running requests, the nested ones; absent where the policy does not tell them apart. */
+  /** Whether the request counted as nested; absent where the policy does not tell. */
+  readonly isNested?: boolean | undefined;
+  /** Of the running requests, the nested ones; absent where the policy does not tell. */
   readonly nestedRunning?: number | undefined;
   readonly queued: number;
 }
