Build what travels with a routed request without spreading objects

At the rate at which a daemon carries requests, code is cold, and each object spread is a call into the runtime: the profile of a daemon at 100 requests a second shows 50 us a request in createExchange itself, 47 in readSelected and 30 in forward, which do little else.

The exchange and the kind of a routed request are written out field by field. Headers to the next daemon and to a backend server are one list of names and values, which the HTTP library takes as it is, in place of objects that are copied three times. The wait for the end of a connection is one promise in place of an async function with two. What is sent is the same but for the order of headers; passed_headers.test.ts compares it whole.

--- a/packages/daemon/src/attempt_terms.ts
+++ b/packages/daemon/src/attempt_terms.ts
@@ -9,8 +9,10 @@
 import type {AttemptResult, Exchange, RoutedRequest} from './exchange.js';
 import {refuse, SHORT_RETRY_MS} from './failures.js';
 import {
+  addHeader,
   GENERATION_HEADER,
   getHeader,
+  type HeaderList,
   type HeaderMap,
   OUTCOME_HEADER,
   REFUSED_HEADER,
@@ -28,6 +30,8 @@
   | 'mayEndWithConnection'
 >;
 
+const COMPLETED = {[OUTCOME_HEADER]: 'completed'};
+
 /** Returns what the protocol of a routed request says to a backend server, and hears from it. */
 export function createRoutedTerms(
   {exchange, server: {instanceId}}: Admitted,
@@ -36,16 +40,16 @@
 ): AttemptTerms {
   const remainingMs = Math.max(1, Math.floor(remaining));
   return {
-    headers: {
-      ...exchange.headers,
-      host: authority,
-      ...protocol.createServerHeaders({
+    headers: createServerHeaders(
+      exchange.headers,
+      authority,
+      protocol.createServerHeaders({
         requestId,
         origin,
         instanceId,
         remainingMs,
       }),
-    },
+    ),
     isForeignAnswer: (status, headers) =>
       protocol.isForeignAnswer(status, headers, requestId),
     mayEndWithConnection: true,
@@ -53,11 +57,27 @@
       protocol.isServerRefusal(status, headers)
         ? refuse('DD3010', SHORT_RETRY_MS)
         : undefined,
-    answerHeaders: {[OUTCOME_HEADER]: 'completed'},
+    answerHeaders: COMPLETED,
     keepBytes: 0,
   };
 }
 
+/** Returns the request's own headers, and in place of some those of the protocol. */
+function createServerHeaders(
+  own: Exchange['headers'],
+  authority: string,
+  added: Readonly<Record<string, string>>,
+): HeaderList {
+  const list: HeaderList = ['host', authority];
+  for (const name in own) {
+    const value = own[name];
+    if (value !== undefined && !Object.hasOwn(added, name))
+      addHeader(list, name, value);
+  }
+  for (const name in added) list.push(name, added[name] ?? '');
+  return list;
+}
+
 /**
  * Part of a goal that is left for the answer here. The rest is spent between caller and daemon: 8 ms each way
  * of the users' shortest goal of a caller, 150 ms.
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -19,11 +19,13 @@
 
 import type {AttemptResult, Exchange} from './exchange.js';
 import {
+  addHeader,
   CALLER_HEADER,
   CODE_HEADER,
   FIRST_GENERATION_HEADER,
   GENERATION_HEADER,
   getHeader,
+  type HeaderList,
   type HeaderMap,
   OUTCOME_HEADER,
   PASSED_AUTHORIZATION_HEADER,
@@ -37,6 +39,7 @@
 /** Time beyond the deadline in which the owner's own word is awaited. */
 const GRACE_MS = 30;
 const CONNECT_TIMEOUT_MS = 500;
+const AUTHORIZATION = 'authorization';
 const MAX_CONNECTIONS = 128;
 const KNOWN_CODES: ReadonlySet<string> = new Set(getMessageCodes());
 
@@ -54,13 +57,16 @@
 /** Sends requests to other daemons over HTTP. */
 export class HttpForwarder implements Forwarder {
   private readonly pools = new Map<string, Pool>();
+  private readonly authorization: string;
 
   constructor(
     private readonly system: System,
-    private readonly peerKey: string,
+    peerKey: string,
     /** IP number from which requests leave, so that other hosts see who sends. */
     private readonly localIp: string,
-  ) {}
+  ) {
+    this.authorization = `Bearer ${peerKey}`;
+  }
 
   forward(
     candidate: Candidate,
@@ -78,24 +84,7 @@
         routed === undefined
           ? formatTarget(exchange.target)
           : `${ROUTED_PREFIX}${exchange.target.path}`,
-      headers: {
-        ...exchange.headers,
-        authorization: `Bearer ${this.peerKey}`,
-        ...createPassedAuthorization(exchange),
-        ...(routed === undefined
-          ? {}
-          : {
-              host: routed.authority,
-              [ROUTED_HEADER]: formatEnvelope(exchange.target, exchange.kind, {
-                ...routed,
-                goalMs: computeGoalLeftMs(routed.goalMs, exchange, nowMs),
-              }),
-            }),
-        [REMAINING_HEADER]: String(remainingMs),
-        [CALLER_HEADER]: exchange.caller,
-        [GENERATION_HEADER]: String(generation),
-        ...createFirstGeneration(exchange),
-      },
+      headers: this.createHeaders(exchange, generation, remainingMs, nowMs),
       body: exchange.body,
       giveUpAtMs: exchange.deadlineAtMs + GRACE_MS,
       deadlineMs: getDeadlineMs(exchange),
@@ -108,6 +97,36 @@
     });
   }
 
+  /** Returns the request's own headers, and what travels between daemons with it. */
+  private createHeaders(
+    exchange: Exchange,
+    generation: number,
+    remainingMs: number,
+    nowMs: number,
+  ): HeaderList {
+    const {headers, routed, firstGeneration} = exchange;
+    const list: HeaderList = [AUTHORIZATION, this.authorization];
+    for (const name in headers) {
+      const value = headers[name];
+      if (value === undefined) continue;
+      if (name !== AUTHORIZATION) addHeader(list, name, value);
+      else if (typeof value === 'string')
+        list.push(PASSED_AUTHORIZATION_HEADER, value);
+    }
+    if (routed !== undefined) {
+      const goalMs = computeGoalLeftMs(routed.goalMs, exchange, nowMs);
+      const {target, kind} = exchange;
+      const envelope = formatEnvelope(target, kind, routed, goalMs);
+      list.push('host', routed.authority, ROUTED_HEADER, envelope);
+    }
+    list.push(REMAINING_HEADER, String(remainingMs));
+    list.push(CALLER_HEADER, exchange.caller);
+    list.push(GENERATION_HEADER, String(generation));
+    if (firstGeneration !== undefined)
+      list.push(FIRST_GENERATION_HEADER, String(firstGeneration));
+    return list;
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
   }
@@ -161,19 +180,6 @@
   return Math.round(exchange.deadlineAtMs - exchange.receivedAt.monotonicMs);
 }
 
-function createPassedAuthorization(exchange: Exchange): Record<string, string> {
-  const value = exchange.headers['authorization'];
-  return typeof value === 'string'
-    ? {[PASSED_AUTHORIZATION_HEADER]: value}
-    : {};
-}
-
-function createFirstGeneration(exchange: Exchange): Record<string, string> {
-  const {firstGeneration} = exchange;
-  if (firstGeneration === undefined) return {};
-  return {[FIRST_GENERATION_HEADER]: String(firstGeneration)};
-}
-
 function readPeerFailure(
   headers: HeaderMap,
   host: string,
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -75,6 +75,19 @@
   return passed;
 }
 
+/** Names and values of headers in turn, as the HTTP library takes them. */
+export type HeaderList = string[];
+
+/** Adds a header with all its values to a list. */
+export function addHeader(
+  list: HeaderList,
+  name: string,
+  value: string | readonly string[],
+): void {
+  if (typeof value === 'string') list.push(name, value);
+  else for (const one of value) list.push(name, one);
+}
+
 /** Returns the single value of a header; undefined when it is absent. */
 export function getHeader(
   headers: HeaderMap,
--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -20,7 +20,12 @@
   KeptBody,
   RequestBody,
 } from './exchange.js';
-import {filterHeaders, getHeader, type HeaderMap} from './headers.js';
+import {
+  filterHeaders,
+  getHeader,
+  type HeaderList,
+  type HeaderMap,
+} from './headers.js';
 import {UploadTooLargeError} from './upload.js';
 
 /** One attempt. */
@@ -30,7 +35,7 @@
   readonly peerName: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: Record<string, string | string[]>;
+  readonly headers: Record<string, string | string[]> | HeaderList;
   readonly body: RequestBody;
   /** Monotonic time at which the attempt is given up. */
   readonly giveUpAtMs: number;
@@ -170,13 +175,12 @@
     }
     this.attempt.answer.endAnswer(filterHeaders(trailers));
     const kept = this.createKept();
-    const {status} = this;
-    this.finish({
+    const answered = {
       kind: 'answered',
-      status,
+      status: this.status,
       isCut: false,
-      ...(kept === undefined ? {} : {kept}),
-    });
+    } as const;
+    this.finish(kept === undefined ? answered : {...answered, kept});
   }
 
   onResponseError(
--- a/packages/daemon/src/request_body.ts
+++ b/packages/daemon/src/request_body.ts
@@ -18,9 +18,6 @@
 import type {Limits} from './settings.js';
 import {Upload} from './upload.js';
 
-/** Turns of the event loop: the rest of this one, and one that reads the end of a connection. */
-const TURNS_TO_END = 2;
-
 /** A request that cannot be handled, with the status to answer. */
 export interface BadRequest {
   readonly status: number;
@@ -90,11 +87,15 @@
  * end of a connection is read one turn of the event loop after the bytes before it, so a daemon that was
  * held up reads a request first and learns only then that nobody waits for it.
  */
-export async function hasLeft(request: IncomingMessage): Promise<boolean> {
-  for (let turn = 0; turn < TURNS_TO_END; turn++) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
-  return request.destroyed || request.socket.readableEnded;
+export function hasLeft(request: IncomingMessage): Promise<boolean> {
+  return new Promise(resolve => {
+    // The rest of this turn of the event loop, and the one that reads the end of a connection.
+    setImmediate(() => {
+      setImmediate(() => {
+        resolve(request.destroyed || request.socket.readableEnded);
+      });
+    });
+  });
 }
 
 /** Watches whether the caller leaves before its answer is whole. */
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -58,8 +58,9 @@
 const ENVELOPE_FIELDS = 7;
 const IDEMPOTENT_MARK = '1';
 
-/** What an owner needs of a kind beside the envelope: it sends each request once. */
-const OWNER_KIND = {match: {}, maxAttempts: 1, objective: 1};
+/** An owner sends each request once. */
+const OWNER_ATTEMPTS = 1;
+const ANY_MATCH = {};
 
 interface Selected {
   readonly target: RequestTarget;
@@ -111,19 +112,22 @@
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
     const abandonment = watchAbandonment(request, response);
-    const {deadlineMs, ...rest} = selected.right;
+    const {target, rules, kind, routed, deadlineMs} = selected.right;
     if (await hasLeft(request))
       return E.left({status: 503, message: createMessage('DD3022')});
     const body = await readBody(this.system, this.limits, request, deadlineMs);
     if (E.isLeft(body)) return body;
     return E.right({
-      ...rest,
+      target,
+      rules,
+      kind,
+      routed,
       method: request.method ?? 'GET',
       headers: filterHeaders(request.headers),
       body: body.right,
       receivedAt,
       deadlineAtMs: receivedAt.monotonicMs + deadlineMs,
-      caller: rest.routed.origin,
+      caller: routed.origin,
       idempotencyKey: undefined,
       firstGeneration: undefined,
       firstSentWallMs: undefined,
@@ -199,7 +203,7 @@
     return E.right({
       target: {service, key, path},
       rules,
-      kind: {...OWNER_KIND, ...envelope.kind, deadlineMs},
+      kind: createOwnerKind(envelope.kind, deadlineMs),
       routed: {protocol: this.protocol, authority, requestId, origin, goalMs},
       deadlineMs,
     });
@@ -214,15 +218,34 @@
   }
 }
 
+/** Returns a kind as an owner needs it, from what the envelope says of it. */
+function createOwnerKind(
+  {name, idempotent, priority, expectedServiceMs}: RoutedEnvelope['kind'],
+  deadlineMs: number,
+): RequestKind {
+  return {
+    name,
+    match: ANY_MATCH,
+    idempotent,
+    deadlineMs,
+    maxAttempts: OWNER_ATTEMPTS,
+    priority,
+    expectedServiceMs,
+    objective: 1,
+  };
+}
+
 /** Returns the header value that carries the selection of a routed request to its owner. */
 export function formatEnvelope(
   {service}: RequestTarget,
   {name, idempotent, priority, expectedServiceMs}: RequestKind,
-  {origin, goalMs}: RoutedRequest,
+  routed: RoutedRequest,
+  /** What is left of the goal, in milliseconds. */
+  goalMs = routed.goalMs,
 ): string {
   return [
     encodeURIComponent(service),
-    encodeURIComponent(origin),
+    encodeURIComponent(routed.origin),
     goalMs,
     encodeURIComponent(name),
     idempotent ? IDEMPOTENT_MARK : '0',
@@ -237,9 +260,14 @@
   if (fields.length !== ENVELOPE_FIELDS) return undefined;
   const [service = '', origin = '', goal, name = '', mark, rank, expected] =
     fields;
-  const numbers = [goal, rank, expected].map(Number);
-  if (numbers.some(value => !Number.isFinite(value))) return undefined;
-  const [goalMs = 0, priority = 0, expectedServiceMs = 0] = numbers;
+  const goalMs = Number(goal);
+  const priority = Number(rank);
+  const expectedServiceMs = Number(expected);
+  const isValid =
+    Number.isFinite(goalMs) &&
+    Number.isFinite(priority) &&
+    Number.isFinite(expectedServiceMs);
+  if (!isValid) return undefined;
   const idempotent = mark === IDEMPOTENT_MARK;
   return {
     service: decodeURIComponent(service),
--- /dev/null
+++ b/packages/daemon/test/passed_headers.test.ts
@@ -0,0 +1,131 @@
+/**
+ * Tests of the headers that pass from a routed request to the next daemon and to its backend server.
+ */
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import {Abandonment} from '../src/abandonment.js';
+import type {Admitted} from '../src/admission.js';
+import {createRoutedTerms} from '../src/attempt_terms.js';
+import type {CallerProtocol, ServerRequest} from '../src/caller_protocol.js';
+import type {Exchange, RoutedRequest} from '../src/exchange.js';
+import {HttpForwarder} from '../src/forwarder.js';
+import {
+  CALLER_HEADER,
+  FIRST_GENERATION_HEADER,
+  GENERATION_HEADER,
+  PASSED_AUTHORIZATION_HEADER,
+  REMAINING_HEADER,
+  ROUTED_HEADER,
+} from '../src/headers.js';
+import {ManualSystem, RecordingSink} from './fakes.js';
+
+const LEFT_MS = 1_000;
+const OWN_HEADERS = {
+  authorization: 'Basic a',
+  constructor: 'b',
+  'x-many': ['1', '2'],
+  'deadline-ms': '7000',
+};
+
+function createRouted(): RoutedRequest {
+  return {
+    protocol: {
+      createServerHeaders: ({remainingMs}: ServerRequest) => ({
+        'deadline-ms': String(remainingMs),
+        instance: 'i',
+      }),
+    } as unknown as CallerProtocol,
+    authority: 'shop.example',
+    requestId: 'a',
+    origin: 'menu',
+    goalMs: 200,
+  };
+}
+
+function createExchange(system: ManualSystem): Exchange {
+  const receivedAt = system.getNow();
+  return {
+    method: 'GET',
+    target: {service: 'menu', key: undefined, path: '/menu/1'},
+    kind: {name: 'read', idempotent: true, priority: 5, expectedServiceMs: 10},
+    headers: OWN_HEADERS,
+    body: {kind: 'none'},
+    receivedAt,
+    deadlineAtMs: receivedAt.monotonicMs + LEFT_MS,
+    caller: 'rutas',
+    firstGeneration: 3,
+    routed: createRouted(),
+    answer: new RecordingSink(),
+    abandonment: new Abandonment(),
+  } as unknown as Exchange;
+}
+
+/** Returns headers in the order of their names and values. */
+function listPairs(raw: readonly string[]): readonly string[] {
+  const names = raw.filter((_, index) => index % 2 === 0);
+  return names.map((name, at) => `${name}: ${raw[2 * at + 1]}`).sort();
+}
+
+test('a daemon gets every header of the caller, and its credentials under a name of their own', async t => {
+  const heads: string[][] = [];
+  const server = createServer((request, response) => {
+    heads.push(request.rawHeaders);
+    response.writeHead(200, {'content-length': 0});
+    response.end();
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const system = new ManualSystem();
+  const forwarder = new HttpForwarder(system, 'key', '127.0.0.1');
+  const candidate = {
+    member: {host: 'h2', incarnation: 'a'},
+    peerAddress: {ip: '127.0.0.1', port},
+    isLocal: false,
+  };
+  await forwarder.forward(candidate, createExchange(system), 4);
+  t.deepEqual(listPairs(heads[0] ?? []), [
+    'authorization: Bearer key',
+    'connection: keep-alive',
+    'constructor: b',
+    'deadline-ms: 7000',
+    `${PASSED_AUTHORIZATION_HEADER}: Basic a`,
+    `${CALLER_HEADER}: rutas`,
+    `${FIRST_GENERATION_HEADER}: 3`,
+    `${GENERATION_HEADER}: 4`,
+    `${REMAINING_HEADER}: ${LEFT_MS}`,
+    `${ROUTED_HEADER}: menu menu 200 read 1 5 10`,
+    'host: shop.example',
+    'x-many: 1',
+    'x-many: 2',
+  ]);
+  await forwarder.close();
+  server.close();
+});
+
+test('headers of the protocol take the place of those of the caller towards a server', t => {
+  const exchange = createExchange(new ManualSystem());
+  const server = {instanceId: 'i'};
+  const admitted = {exchange, server} as unknown as Admitted;
+  const {headers} = createRoutedTerms(admitted, createRouted(), LEFT_MS);
+  t.deepEqual(headers, [
+    'host',
+    'shop.example',
+    'authorization',
+    'Basic a',
+    'constructor',
+    'b',
+    'x-many',
+    '1',
+    'x-many',
+    '2',
+    'deadline-ms',
+    String(LEFT_MS),
+    'instance',
+    'i',
+  ]);
+});
--- a/packages/platform/src/callers.ts
+++ b/packages/platform/src/callers.ts
@@ -48,11 +48,12 @@
     instanceId,
     remainingMs,
   }: ServerRequest): Record<string, string> {
-    return {
+    const headers: Record<string, string> = {
       [ORIGIN]: origin,
       [DEADLINE]: String(remainingMs),
-      ...(instanceId === undefined ? {} : {[EXPECTED_SERVER]: instanceId}),
     };
+    if (instanceId !== undefined) headers[EXPECTED_SERVER] = instanceId;
+    return headers;
   }
 
   isServerRefusal(status: number, headers: HeaderMap): boolean {
