Close the other listeners although a connection has sent nothing

The listeners for backend servers, operators and readiness closed by the HTTP server's own way, which waits for every connection that has sent nothing or half a head: one such connection held the end of the daemon up until its other side left (seen on a plain listener: not closed after 3 s).

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -381,7 +381,7 @@
         );
       },
     });
-    this.listeners.push(...open.apps);
+    this.listeners.push(...open.others);
     this.drains.push(...open.drains);
   }
 
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -34,6 +34,8 @@
 /** Time after which a caller finds another daemon, in milliseconds. */
 const ROUTED_RETRY_AFTER_MS = 250;
 
+const NO_REFUSAL = '';
+
 /** Tells a request that comes to a closing listener that it was not run. */
 const CLOSING_PROBLEM: Problem = {
   status: UNAVAILABLE,
@@ -64,7 +66,7 @@
 /** Listeners that are open. */
 export interface OpenListeners {
   /** Listeners on which no requests of callers arrive. */
-  readonly apps: readonly FastifyInstance[];
+  readonly others: readonly ListenerDrain[];
   /** Drains of the listeners on which requests arrive; each closes its listener. */
   readonly drains: readonly ListenerDrain[];
 }
@@ -104,13 +106,18 @@
   await listen(callers, settings.callerAddress);
   await listen(servers, settings.serverAddress);
   await listen(operators, settings.operatorAddress);
-  const apps = [servers, operators];
+  const others = [servers, operators].map(app => createPlainDrain(system, app));
   if (platform === undefined || routedCallers === undefined)
-    return {apps, drains};
+    return {others, drains};
   const ready = createReadyListener(parts, platform);
   await listen(ready, platform.readyAddress);
   await listen(routedCallers, platform.routedAddress);
-  return {apps: [...apps, ready], drains};
+  return {others: [...others, createPlainDrain(system, ready)], drains};
+}
+
+/** Creates the drain of a listener on which no requests of callers arrive. */
+function createPlainDrain(system: System, app: FastifyInstance): ListenerDrain {
+  return new ListenerDrain(system, app, NO_REFUSAL);
 }
 
 /** Creates the drain of a listener whose callers have a protocol of their own. */
--- a/packages/daemon/src/listener_drain.ts
+++ b/packages/daemon/src/listener_drain.ts
@@ -25,7 +25,7 @@
   constructor(
     private readonly system: System,
     private readonly app: FastifyInstance,
-    /** Answer that says that a request was not run, and that the connection closes. */
+    /** Answer that says that a request was not run, and that the connection closes; empty for none. */
     private readonly refusal: string,
   ) {
     app.server.prependListener('request', (_request, response) => {
--- a/packages/daemon/test/listener_drain.test.ts
+++ b/packages/daemon/test/listener_drain.test.ts
@@ -18,7 +18,7 @@
 const REFUSAL = 'HTTP/1.1 503 X\r\ncontent-length: 7\r\n\r\nnot run';
 const REQUEST = 'GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n';
 
-async function openBench() {
+async function openBench(refusal = REFUSAL) {
   const limits = createLimits();
   const app = createListener(limits);
   const handled: string[] = [];
@@ -33,7 +33,7 @@
     reply.raw.write('wh');
     setTimeout(() => reply.raw.end('ole'), ANSWER_DELAY_MS);
   });
-  const drain = new ListenerDrain(createNodeSystem(), app, REFUSAL);
+  const drain = new ListenerDrain(createNodeSystem(), app, refusal);
   await app.listen({host: '127.0.0.1', port: 0});
   const {port} = app.server.address() as AddressInfo;
   return {app, drain, handled, port};
@@ -135,3 +135,12 @@
   t.deepEqual(bodies, [REFUSAL]);
   await closed;
 });
+
+test('a listener without requests of callers closes though a connection has sent nothing', async t => {
+  const {drain, port} = await openBench('');
+  const fresh = connect(port, '127.0.0.1');
+  await once(fresh, 'connect');
+  const answered = readAnswer(fresh);
+  await drain.close();
+  t.is(await answered, '');
+});
