Tell owners which requests runs of other servers wait for

Cause: the owner of a service could not know that a request was made by a run that holds a slot elsewhere.

What tells is the name: a server names its requests by the request that it runs, with a suffix. The entry takes a request for nested only if the parent that it names runs at the backend server of this host at that moment, which the owner here knows, so a caller of another host gains nothing by a name. Where servers name their requests otherwise, all stays as it was.

--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -102,13 +102,14 @@
   parts: ListenerParts,
   platform: HostPlatform,
 ): RoutedExchangeFactory {
-  const {settings, system, operators} = parts;
+  const {settings, system, operators, owner} = parts;
   return new RoutedExchangeFactory(
     system,
     settings.limits,
     platform.protocol,
     () => platform.getOrigin(),
     () => operators.view.getManifest(),
+    requestId => owner.isRunningHere(requestId),
     parts.isBehind,
   );
 }
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -43,6 +43,7 @@
   TOKEN_HEADER,
 } from './headers.js';
 import {sendAttempt} from './http_attempt.js';
+import {LocalRuns} from './local_runs.js';
 import {OnceGuard} from './once_guard.js';
 import {getPosition} from './request_position.js';
 import type {ServerRegistry} from './server_registry.js';
@@ -61,6 +62,7 @@
 /** Runs requests on this host's backend servers. */
 export class Owner {
   private readonly services = new Map<ServiceName, ServiceState>();
+  private readonly localRuns = new LocalRuns();
   private isClosing = false;
   private running = 0;
   private onAdmission: AdmissionListener = () => {};
@@ -134,6 +136,11 @@
     return this.running;
   }
 
+  /** Tells whether the backend server of this host runs the request of a name. */
+  isRunningHere(requestId: string): boolean {
+    return this.localRuns.isRunning(requestId);
+  }
+
   /** Tells whether a member is the present run of this daemon. */
   isPresentMember(member: Member): boolean {
     return isSameMember(member, this.keeper.getMember());
@@ -284,6 +291,7 @@
         deadlineAtMs: exchange.deadlineAtMs,
         goalAtMs: getGoalAtMs(exchange),
         caller: exchange.caller,
+        isNested: exchange.routed?.isNested,
         bytes:
           exchange.body.kind === 'buffered'
             ? exchange.body.bytes.byteLength
@@ -291,9 +299,12 @@
         onRun: finish => {
           forget();
           exchange.abandonment.removeListener(leave);
+          const {routed} = exchange;
+          const endRun = routed && this.localRuns.startRun(routed.requestId);
           void this.sendToServer(admitted)
             .catch(createDefect)
             .then(result => {
+              endRun?.();
               finish(result.kind === 'answered');
               resolve(result);
             });
