--- a/packages/daemon/src/caller_protocol.ts
+++ b/packages/daemon/src/caller_protocol.ts
@@ -12,8 +12,6 @@
 export interface CallerRequest {
   /** Name of the request; empty when the caller gives none. */
   readonly requestId: string;
-  /** Name of the request whose run sent this one; undefined when the request names none. */
-  readonly parentId: string | undefined;
   /** Milliseconds that the caller waits; undefined when it does not say. */
   readonly deadlineMs: number | undefined;
   /** Key that decides the owner; undefined when there is none. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,6 @@
   waitFor,
 } from '@dottereldrift/core/system.js';
 import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
-import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import type {ObjectStore} from '@dottereldrift/store/types.js';
@@ -257,7 +256,6 @@
     const refusalLog = new RefusalLog(system, this.log.createPart('slots'));
     this.owner.addRefusalListener((exchange, refusal) => {
       refusalLog.observe(exchange, refusal);
-      this.countRefusal(exchange, refusal);
     });
     this.status = new StatusReader(
       system,
@@ -282,14 +280,6 @@
     );
   }
 
-  private countRefusal({target, routed}: Exchange, {code}: SlotRefusal): void {
-    this.metrics.addCount('slots.refused', 1, {
-      service: target.service,
-      code,
-      nested: String(routed?.isNested === true),
-    });
-  }
-
   async start(): Promise<void> {
     await this.openListeners();
     await this.channel.open((datagram, from) => {
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -102,14 +102,13 @@
   parts: ListenerParts,
   platform: HostPlatform,
 ): RoutedExchangeFactory {
-  const {settings, system, operators, owner} = parts;
+  const {settings, system, operators} = parts;
   return new RoutedExchangeFactory(
     system,
     settings.limits,
     platform.protocol,
     () => platform.getOrigin(),
     () => operators.view.getManifest(),
-    requestId => owner.isRunningHere(requestId),
     parts.isBehind,
   );
 }
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -29,8 +29,6 @@
   readonly origin: ServiceName;
   /** Time within which an answer is worth most to the caller, in milliseconds. */
   readonly goalMs: number;
-  /** Whether a run that holds a slot of another server waits for the answer. */
-  readonly isNested: boolean;
 }
 
 /** A request as every stage of the daemon sees it. */
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -23,7 +23,6 @@
   CODE_HEADER,
   FIRST_GENERATION_HEADER,
   GENERATION_HEADER,
-  NESTED_HEADER,
   getHeader,
   type HeaderMap,
   OUTCOME_HEADER,
@@ -37,7 +36,6 @@
 
 /** Time beyond the deadline in which the owner's own word is awaited. */
 const GRACE_MS = 30;
-const NESTED_MARK = '1';
 const CONNECT_TIMEOUT_MS = 500;
 const MAX_CONNECTIONS = 128;
 const KNOWN_CODES: ReadonlySet<string> = new Set(getMessageCodes());
@@ -92,7 +90,6 @@
                 ...routed,
                 goalMs: computeGoalLeftMs(routed.goalMs, exchange, nowMs),
               }),
-              ...(routed.isNested ? {[NESTED_HEADER]: NESTED_MARK} : {}),
             }),
         [REMAINING_HEADER]: String(remainingMs),
         [CALLER_HEADER]: exchange.caller,
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -23,8 +23,6 @@
 export const FIRST_GENERATION_HEADER = 'dottereldrift-first-generation';
 /** Service, kind and key that a route selected, from the entry to the owner. */
 export const ROUTED_HEADER = 'dottereldrift-routed';
-/** Present when a run that holds a slot of another server waits for the answer. */
-export const NESTED_HEADER = 'dottereldrift-nested';
 /** Start of the slice that a request belongs to. */
 export const SLICE_HEADER = 'dottereldrift-slice';
 /** Fencing token of the slice. */
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -43,7 +43,6 @@
   TOKEN_HEADER,
 } from './headers.js';
 import {sendAttempt} from './http_attempt.js';
-import {LocalRuns} from './local_runs.js';
 import {OnceGuard} from './once_guard.js';
 import {getPosition} from './request_position.js';
 import type {ServerRegistry} from './server_registry.js';
@@ -62,7 +61,6 @@
 /** Runs requests on this host's backend servers. */
 export class Owner {
   private readonly services = new Map<ServiceName, ServiceState>();
-  private readonly localRuns = new LocalRuns();
   private isClosing = false;
   private running = 0;
   private onAdmission: AdmissionListener = () => {};
@@ -136,11 +134,6 @@
     return this.running;
   }
 
-  /** Tells whether the backend server of this host runs the request of a name. */
-  isRunningHere(requestId: string): boolean {
-    return this.localRuns.isRunning(requestId);
-  }
-
   /** Tells whether a member is the present run of this daemon. */
   isPresentMember(member: Member): boolean {
     return isSameMember(member, this.keeper.getMember());
@@ -291,7 +284,6 @@
         deadlineAtMs: exchange.deadlineAtMs,
         goalAtMs: getGoalAtMs(exchange),
         caller: exchange.caller,
-        isNested: exchange.routed?.isNested,
         bytes:
           exchange.body.kind === 'buffered'
             ? exchange.body.bytes.byteLength
@@ -299,12 +291,9 @@
         onRun: finish => {
           forget();
           exchange.abandonment.removeListener(leave);
-          const {routed} = exchange;
-          const endRun = routed && this.localRuns.startRun(routed.requestId);
           void this.sendToServer(admitted)
             .catch(createDefect)
             .then(result => {
-              endRun?.();
               finish(result.kind === 'answered');
               resolve(result);
             });
--- a/packages/daemon/src/refusal_log.ts
+++ b/packages/daemon/src/refusal_log.ts
@@ -23,21 +23,15 @@
   /** Takes note of a refusal. */
   observe({routed, target, kind, receivedAt}: Exchange, refusal: SlotRefusal) {
     if (routed === undefined || !this.limit.tryTakeLine()) return;
-    const {load} = refusal;
     const waitedMs = this.system.getNow().monotonicMs - receivedAt.monotonicMs;
     this.log.writeInfo('A request got no slot.', {
       requestId: routed.requestId,
       service: target.service,
       kind: kind.name,
-      isNested: routed.isNested,
       code: refusal.code,
       retryAfterMs: Math.round(refusal.retryAfterMs),
       waitedMs: Math.round(waitedMs),
-      slots: load.slots,
-      openSlots: load.openSlots,
-      running: load.running,
-      nestedRunning: load.nestedRunning ?? 0,
-      queued: load.queued,
+      ...refusal.load,
       leftOut: this.limit.takeLeftOut(),
     });
   }
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -30,7 +30,6 @@
 import {
   filterHeaders,
   getHeader,
-  NESTED_HEADER,
   REMAINING_HEADER,
   ROUTED_HEADER,
 } from './headers.js';
@@ -82,8 +81,6 @@
     /** Service whose requests and callers are on this host. */
     private readonly getOrigin: () => ServiceName,
     private readonly getAccepted: () => AcceptedManifest | undefined,
-    /** Tells whether the backend server of this host runs a request. */
-    private readonly isRunningHere: (requestId: string) => boolean,
     /** Tells whether this daemon is too late with its work to begin more. */
     private readonly isBehind: () => boolean = () => false,
   ) {}
@@ -162,7 +159,7 @@
     service: ServiceName,
     rules: ServiceRules,
   ): Selected {
-    const {requestId, parentId, deadlineMs, key} = this.protocol.parseRequest(
+    const {requestId, deadlineMs, key} = this.protocol.parseRequest(
       request.headers,
     );
     const {kind, goalMs} = route;
@@ -176,8 +173,6 @@
         requestId,
         origin: this.getOrigin(),
         goalMs,
-        // Only a parent that runs on this host counts, so that no caller of another host gains by a name.
-        isNested: parentId !== undefined && this.isRunningHere(parentId),
       },
       deadlineMs: Math.min(kind.deadlineMs, deadlineMs ?? kind.deadlineMs),
     };
@@ -205,14 +200,7 @@
       target: {service, key, path},
       rules,
       kind: {...OWNER_KIND, ...envelope.kind, deadlineMs},
-      routed: {
-        protocol: this.protocol,
-        authority,
-        requestId,
-        origin,
-        goalMs,
-        isNested: getHeader(request.headers, NESTED_HEADER) !== undefined,
-      },
+      routed: {protocol: this.protocol, authority, requestId, origin, goalMs},
       deadlineMs,
     });
   }
@@ -243,13 +231,10 @@
   ].join(' ');
 }
 
-/**
- * Returns the selection that a header value carries; undefined when it is none. Fields that a later version adds
- * at the end are left out.
- */
+/** Returns the selection that a header value carries; undefined when it is none. */
 export function parseEnvelope(text: string): RoutedEnvelope | undefined {
   const fields = text.split(' ');
-  if (fields.length < ENVELOPE_FIELDS) return undefined;
+  if (fields.length !== ENVELOPE_FIELDS) return undefined;
   const [service = '', origin = '', goal, name = '', mark, rank, expected] =
     fields;
   const numbers = [goal, rank, expected].map(Number);
--- a/packages/platform/src/callers.ts
+++ b/packages/platform/src/callers.ts
@@ -31,18 +31,13 @@
 /** Statuses of ours that tell more than whether the request ran. */
 const PLAIN_STATUSES: ReadonlySet<number> = new Set([400, 404, 413, 431]);
 
-/** Stands between the name of a server's request and that of the request which the server runs. */
-const PARENT_END = '.';
-
 /** Speaks the platform's protocol. */
 export class PlatformProtocol implements CallerProtocol {
   parseRequest(headers: HeaderMap): CallerRequest {
     const deadlineMs = Number(getHeader(headers, DEADLINE));
     const isDeadline = Number.isFinite(deadlineMs) && deadlineMs > 0;
-    const requestId = getHeader(headers, REQUEST_ID) ?? '';
     return {
-      requestId,
-      parentId: getParentId(requestId),
+      requestId: getHeader(headers, REQUEST_ID) ?? '',
       deadlineMs: isDeadline ? deadlineMs : undefined,
       key: getHeader(headers, KEY),
     };
@@ -96,8 +91,3 @@
     };
   }
 }
-
-function getParentId(requestId: string): string | undefined {
-  const end = requestId.lastIndexOf(PARENT_END);
-  return end > 0 ? requestId.slice(0, end) : undefined;
-}
