--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -2,11 +2,7 @@
  * Listens for requests: the callers' listener passes them to the entry stage, the peers' listener to
  * the owner stage. Both read and write the same way.
  */
-import {
-  type IncomingMessage,
-  type ServerResponse,
-  STATUS_CODES,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 import fastify, {type FastifyInstance} from 'fastify';
@@ -17,9 +13,8 @@
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import {
-  formatProblem,
+  formatLastProblem,
   type Problem,
-  PROBLEM_TYPE,
   writeBareProblem,
   writeForeignProblem,
   writeProblem,
@@ -27,13 +22,13 @@
 import type {CallerProtocol} from './caller_protocol.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import {type RequestListener, servePlainRequests} from './plain_requests.js';
 import type {BadRequest} from './request_body.js';
 import {
   ROUTED_PREFIX,
   type RoutedExchangeFactory,
 } from './routed_exchange_factory.js';
 import {createDefect} from './failures.js';
-import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {Limits} from './settings.js';
 
 /** Handles one exchange. */
@@ -55,6 +50,7 @@
 const REQUEST_HEAD_TIMEOUT_MS = 10_000;
 /** Time in which a whole request must have come in. */
 const REQUEST_TIMEOUT_MS = 600_000;
+const NOT_PRINTABLE_ASCII = /[^\x21-\x7e]/;
 
 /** Creates a listener with the bounds of this daemon. */
 export function createListener(limits: Limits): FastifyInstance {
@@ -80,6 +76,17 @@
   });
   app.removeAllContentTypeParsers();
   app.server.maxConnections = limits.callerConnections;
+  app.addHook('onRequest', (request, reply, done) => {
+    if (!NOT_PRINTABLE_ASCII.test(request.raw.url ?? '')) {
+      done();
+      return;
+    }
+    // The HTTP parser refuses such bytes on some processors and takes them on others.
+    reply.hijack();
+    const reason = 'its target has bytes outside printable ASCII';
+    writeProblem(reply.raw, createHttpProblem(400, reason));
+    request.raw.resume();
+  });
   return app;
 }
 
@@ -117,25 +124,34 @@
   });
 }
 
-/** Adds the way of routed requests from other daemons to a listener. */
+/**
+ * Adds the way of routed requests from other daemons to a listener. Requests that are not authorized are left
+ * to the hooks of the listener.
+ */
 export function addRoutedPeerRoutes(
   app: FastifyInstance,
   factory: RoutedExchangeFactory,
   handle: ExchangeHandler,
   writeDefect: DefectWriter,
+  isAuthorized?: (request: IncomingMessage) => boolean,
 ): void {
+  const way: RequestWay = {
+    create: (raw, response) => factory.createFromPeer(raw, response),
+    handle,
+    observe: () => {},
+    writeDefect,
+    writeProblem: writeBareProblem,
+  };
+  const serve: RequestListener = (request, response) => {
+    // The daemon that asked dates the answer for its caller.
+    response.sendDate = false;
+    serveRequest(request, response, way);
+  };
   app.all(`${ROUTED_PREFIX}/*`, (request, reply) => {
     reply.hijack();
-    // The daemon that asked dates the answer for its caller.
-    reply.raw.sendDate = false;
-    serveRequest(request.raw, reply.raw, {
-      create: (raw, response) => factory.createFromPeer(raw, response),
-      handle,
-      observe: () => {},
-      writeDefect,
-      writeProblem: writeBareProblem,
-    });
+    serve(request.raw, reply.raw);
   });
+  servePlainRequests(app, `${ROUTED_PREFIX}/`, serve, isAuthorized);
 }
 
 /** Adds the routes of callers whose requests are selected by host and path to a listener. */
@@ -150,18 +166,23 @@
   app.addContentTypeParser('*', (_request, _payload, done) => {
     done(null);
   });
+  const way: RequestWay = {
+    create: (raw, response) => factory.createFromCaller(raw, response),
+    handle,
+    observe,
+    writeDefect,
+    writeProblem: (response, problem) => {
+      writeForeignProblem(response, protocol, problem);
+    },
+  };
+  const serve: RequestListener = (request, response) => {
+    serveRequest(request, response, way);
+  };
   app.all('/*', (request, reply) => {
     reply.hijack();
-    serveRequest(request.raw, reply.raw, {
-      create: (raw, response) => factory.createFromCaller(raw, response),
-      handle,
-      observe,
-      writeDefect,
-      writeProblem: (response, problem) => {
-        writeForeignProblem(response, protocol, problem);
-      },
-    });
+    serve(request.raw, reply.raw);
   });
+  servePlainRequests(app, '/', serve);
 }
 
 /** How one listener serves requests. */
@@ -243,16 +264,7 @@
   }
   const status = getClientErrorStatus(error.code);
   const problem = createHttpProblem(status, getErrorText(error));
-  const body = formatProblem(problem);
-  const head = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
-    `content-type: ${PROBLEM_TYPE}`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    `${OUTCOME_HEADER}: ${problem.outcome}`,
-    `${CODE_HEADER}: ${problem.message.code}`,
-    'connection: close',
-  ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  socket.end(formatLastProblem(problem));
 }
 
 function getClientErrorStatus(code: string | undefined): number {
