--- a/packages/daemon/src/attempt_terms.ts
+++ b/packages/daemon/src/attempt_terms.ts
@@ -30,7 +30,7 @@
   | 'mayEndWithConnection'
 >;
 
-const COMPLETED = {[OUTCOME_HEADER]: 'completed'};
+const COMPLETED_HEADERS = {[OUTCOME_HEADER]: 'completed'};
 
 /** Returns what the protocol of a routed request says to a backend server, and hears from it. */
 export function createRoutedTerms(
@@ -57,7 +57,7 @@
       protocol.isServerRefusal(status, headers)
         ? refuse('DD3010', SHORT_RETRY_MS)
         : undefined,
-    answerHeaders: COMPLETED,
+    answerHeaders: COMPLETED_HEADERS,
     keepBytes: 0,
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -45,7 +45,7 @@
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import {RefusalLog} from './refusal_log.js';
 import {RequestLog} from './request_log.js';
-import {countHosts} from './service_hosts.js';
+import {countHosts} from './host_counts.js';
 import type {Settings} from './settings.js';
 import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -60,7 +60,7 @@
 
 /** An owner sends each request once. */
 const OWNER_ATTEMPTS = 1;
-const ANY_MATCH = {};
+const NO_CONDITIONS = {};
 
 interface Selected {
   readonly target: RequestTarget;
@@ -225,7 +225,7 @@
 ): RequestKind {
   return {
     name,
-    match: ANY_MATCH,
+    match: NO_CONDITIONS,
     idempotent,
     deadlineMs,
     maxAttempts: OWNER_ATTEMPTS,
--- a/packages/daemon/src/serving_hosts.ts
+++ b/packages/daemon/src/serving_hosts.ts
@@ -51,7 +51,7 @@
     const known = isCurrent
       ? present.known
       : this.readHosts(service, sessions, ownCentre);
-    const hosts = placeHosts(known, distance);
+    const hosts = addDistances(known, distance);
     this.services.set(service, {sessions, ownCentre, known, distance, hosts});
     return hosts;
   }
@@ -72,7 +72,7 @@
   }
 }
 
-function placeHosts(
+function addDistances(
   known: readonly KnownHost[],
   distance: number,
 ): readonly ServingHost[] {
