Count no word and hold back other servers while grants of the run before this process may be in force

A daemon that has just started has no record of which heartbeats its server sent last, nor to which life the run before it granted. It took that for proof: - two heartbeats that the server had sent before the earlier run gave it keys, and that arrive late after the restart, released the keys while the server held them by a grant of the earlier run; - a life that was heard first was granted keys although it is not the one that the earlier session names; - with pushed grants, a server at another address, or one that was heard before the earlier run was known, confirmed a list for the server that holds the keys, and its leave ended that server's grants on record.

Cause: absence of a record was proof. The sequence of heartbeats, the life and the address begin anew in a new process; only the end of grants was counted from its start.

Why it works: until 2 s after the start of the process no server is told to let go, so no heartbeat is a word; from then on the order of heartbeats is known and the earlier grants have ended. A life (by its name, or by its address where servers do not name lives) that the followed session does not name is held back for as long. A process that follows no run is not held back: its session was new, or replaced one that had ended. Two tests of released words now begin 2 s after the start, where words count; they ask for the same.

Cost: a planned move from a daemon that has just started waits for up to 2 s while its keys are served; a host whose server and daemon both start again within 2 s gets keys when those 2 s are over.

--- a/packages/daemon/src/answered_grants.ts
+++ b/packages/daemon/src/answered_grants.ts
@@ -88,7 +88,7 @@
     private readonly source: GrantSource,
     private readonly limits: HoldLimits,
     /** Monotonic time at which grants of an earlier run of this daemon have ended. */
-    earlierEndMs: number,
+    private readonly earlierEndMs: number,
   ) {
     this.latestEndMs = earlierEndMs;
   }
@@ -232,7 +232,13 @@
     }
   }
 
+  /**
+   * Stops admission to what the server is about to be told to let go. While grants of the run before this
+   * process may be in force it is not told: its heartbeats of before may arrive late, and this process does
+   * not know which of them came last, so none is its word.
+   */
   private stopAsked(): void {
+    if (this.system.getNow().monotonicMs < this.earlierEndMs) return;
     const asked = [...this.releases.values()].filter(
       ({state, ref}) => state === 'asked' && this.isKnown(ref),
     );
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -232,9 +232,12 @@
   }
 
   private judgeLife(info: ServerInfo): ServerInfo {
-    if (info.life === undefined) return info;
     const last = this.findLastInfo(info.service);
-    if (last?.life === info.life) return keepVoidToken(info, last);
+    if (last !== undefined && isSameLife(last, info))
+      return keepVoidToken(info, last);
+    // The run before this process may have granted keys to another life, of which nothing is heard here.
+    if (this.keeper.hasFollowed()) this.heldBack.add(info.service);
+    if (info.life === undefined) return info;
     const voidToken = this.owned.getAssignment(info.service)?.generation ?? 0;
     this.log.writeInfo(
       'The server has begun a new life; its slices get new tokens.',
@@ -243,6 +246,7 @@
         life: info.life,
         earlierLife: last?.life ?? '',
         voidToken,
+        grantLeftMs: Math.round(this.getGrantLeftMs(info.service)),
       },
     );
     return {...info, voidToken};
@@ -360,9 +364,11 @@
       this.startLeaving(service);
       return;
     }
+    const isKnown = this.entries.has(service) && !this.unjudged.has(service);
     this.removeEntry(service, 'it left');
-    // A server that was lost before it may still hold a grant.
-    if (!this.isHeldBack(service)) this.getBook(service).endProvedGone();
+    // Another server, lost or of the run before this process, may still hold a grant.
+    if (isKnown && !this.isHeldBack(service))
+      this.getBook(service).endProvedGone();
     this.publishServers();
   }
 
@@ -419,7 +425,7 @@
     const sender = this.getBook(service);
     if (sender.hasLapsed()) return true;
     const entry = this.entries.get(service);
-    if (entry === undefined || this.isHeldBack(service)) return false;
+    if (entry === undefined || !this.isBound(service)) return false;
     return sender.tryConfirm(entry.pool);
   }
 
@@ -440,7 +446,7 @@
     this.answerWait.wake();
     if (this.isRevoking) return;
     for (const [service, entry] of this.entries) {
-      if (this.isChecking(service) && !this.isHeldBack(service))
+      if (this.isChecking(service) && this.isBound(service))
         void this.getBook(service).send(entry.pool);
     }
   }
@@ -546,6 +552,11 @@
     return this.heldBack.has(service);
   }
 
+  /** Tells whether the server that is heard is the only one of its service that may hold a grant. */
+  private isBound(service: ServiceName): boolean {
+    return !this.unjudged.has(service) && !this.isHeldBack(service);
+  }
+
   private getBook(service: ServiceName): GrantBook {
     const present = this.books.get(service);
     if (present !== undefined) return present;
@@ -577,6 +588,11 @@
   }
 }
 
+/** Servers that do not name their lives are known by their addresses. */
+function isSameLife(a: ServerInfo, b: ServerInfo): boolean {
+  return a.life === undefined ? isSameServer(a, b) : a.life === b.life;
+}
+
 function isSameServer(a: ServerInfo, b: ServerInfo): boolean {
   const isSameAddress =
     a.address.ip === b.address.ip && a.address.port === b.address.port;
--- a/packages/daemon/src/server_types.ts
+++ b/packages/daemon/src/server_types.ts
@@ -46,7 +46,7 @@
 
 /** What the registry asks of the session. */
 export type RegistryKeeper = Pick<SessionKeeper, 'getEnd' | 'setServers'> &
-  Pick<SessionKeeper, 'isJoined' | 'getEarlierServers'>;
+  Pick<SessionKeeper, 'isJoined' | 'getEarlierServers' | 'hasFollowed'>;
 
 /** What the registry asks of the assignments in force here. */
 export interface OwnedSlices {
--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -88,6 +88,7 @@
   /** Earlier runs on this host whose grants may still be in force, newest first. */
   private follows: readonly Incarnation[] = [];
   private earlierServers: readonly ServerInfo[] = [];
+  private hasFollowedRun = false;
   private isFirstMember = true;
   /** Version of the first session of this process that came into force. */
   private joinedVersion = Infinity;
@@ -146,6 +147,11 @@
     return this.earlierServers;
   }
 
+  /** Tells whether this process went on with the slices of a run of this daemon, which may have granted them. */
+  hasFollowed(): boolean {
+    return this.hasFollowedRun;
+  }
+
   /** Calls back after this daemon has become another member. */
   addRejoinListener(listener: () => void): void {
     this.rejoinListeners.push(listener);
@@ -281,6 +287,7 @@
     // A longer chain is ended the slow way, which waits until its grants have lapsed.
     if (follows.length >= MAX_FOLLOWED) return;
     this.follows = [member.incarnation, ...follows];
+    this.hasFollowedRun = true;
     // Until the server is heard again, others shall not take it for lost.
     this.earlierServers = found.session.servers;
     this.servers = found.session.servers;
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -42,6 +42,7 @@
   readonly system = new ManualSystem();
   published: readonly ServerInfo[] = [];
   earlier: readonly ServerInfo[] = [];
+  hasFollowed = false;
   isJoined = true;
   mayGrant = true;
   isExpecting = false;
@@ -59,6 +60,7 @@
       },
       isJoined: () => this.isJoined,
       getEarlierServers: () => this.earlier,
+      hasFollowed: () => this.hasFollowed,
     },
     () => new FifoPolicy(this.system, 1, () => 10),
     {
@@ -285,6 +287,7 @@
     bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
       bench.held = [];
     });
+  bench.system.shift(LEASE_DURATION_MS);
   bench.sendHeartbeat({sequence: 1});
   release();
   bench.sendHeartbeat({sequence: 2, report: HELD});
@@ -301,6 +304,7 @@
     bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
       bench.held = [];
     });
+  bench.system.shift(LEASE_DURATION_MS);
   bench.sendHeartbeat({sequence: 1});
   release();
   bench.sendHeartbeat({sequence: 2, report: HELD});
@@ -311,6 +315,37 @@
   t.is(release().length, 1);
 });
 
+test('a life that is first heard after a restart of the daemon is granted nothing until the grants of the run before have ended', t => {
+  const bench = new Bench();
+  bench.earlier = [createEarlier('i-0/1', 3)];
+  bench.hasFollowed = true;
+  t.is(bench.sendHeartbeat({sequence: 1}), undefined);
+  bench.system.shift(LEASE_DURATION_MS - 1);
+  t.is(bench.sendHeartbeat({sequence: 2}), undefined);
+  bench.system.shift(1);
+  t.not(bench.sendHeartbeat({sequence: 3}), undefined);
+});
+
+test('heartbeats from before a restart of the daemon that arrive late after it release no slice', t => {
+  const bench = createKnownBench();
+  bench.hasFollowed = true;
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  release();
+  // The server sent these before the run before this one gave it its keys.
+  bench.sendHeartbeat({sequence: 1});
+  bench.sendHeartbeat({sequence: 2});
+  t.deepEqual(release(), []);
+  t.is(bench.held.length, 1, 'the server is not told before its word counts');
+  bench.system.shift(LEASE_DURATION_MS);
+  bench.sendHeartbeat({sequence: 3, report: HELD});
+  t.deepEqual(release(), []);
+  bench.sendHeartbeat({sequence: 4});
+  t.is(release().length, 1);
+});
+
 const HELD = {held: [{first: 0, last: 65_535, token: 5}], freed: []};
 
 /** Returns a daemon that knows the life of its server, so that the server gets its keys. */
--- a/packages/daemon/test/server_registry.test.ts
+++ b/packages/daemon/test/server_registry.test.ts
@@ -2,12 +2,14 @@
  * Tests of what a daemon decides about the servers on its host by itself.
  */
 import test from 'ava';
+import type {Dispatcher} from 'undici';
 
 import {createLog} from '@dottereldrift/core/log.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {ServiceRules} from '@dottereldrift/manifest/types.js';
 import {LEASE_DURATION_MS} from '@dottereldrift/membership/constants.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
+import type {Assignment} from '@dottereldrift/ownership/types.js';
 
 import {SERVER_SILENCE_MS, ServerRegistry} from '../src/server_registry.js';
 import {LEAVING_ADMISSION_MS} from '../src/server_types.js';
@@ -24,6 +26,10 @@
 
 class Bench {
   rules: ServiceRules | undefined;
+  assignment: Assignment | undefined;
+  earlier: readonly ServerInfo[] = [];
+  hasFollowed = false;
+  isJoined = true;
   readonly system = new ManualSystem();
   readonly published: Array<readonly ServerInfo[]> = [];
   readonly policy = new FifoPolicy(this.system, 1, () => 10);
@@ -34,19 +40,34 @@
       setServers: servers => {
         this.published.push(servers);
       },
-      isJoined: () => true,
-      getEarlierServers: () => [],
+      isJoined: () => this.isJoined,
+      getEarlierServers: () => this.earlier,
+      hasFollowed: () => this.hasFollowed,
     },
     () => this.policy,
     {
-      getAssignment: () => undefined,
+      getAssignment: () => this.assignment,
       getHeldSlices: () => [],
       isExpecting: () => false,
       mayGrant: () => true,
     },
     () => this.rules,
     createLog('test', 'hidden', 'error'),
+    info => this.createPool(info),
   );
+  /** Ports of the servers that were sent a grant. */
+  readonly granted: number[] = [];
+
+  private createPool({address}: ServerInfo): Dispatcher {
+    return {
+      request: () => {
+        this.granted.push(address.port);
+        const body = {dump: () => Promise.resolve()};
+        return Promise.resolve({statusCode: 200, body});
+      },
+      destroy: () => Promise.resolve(),
+    } as unknown as Dispatcher;
+  }
 
   /** Has the one slot taken and another request wait; returns the codes of refusals. */
   addRequests(): readonly string[] {
@@ -116,3 +137,48 @@
   bench.registry.removeServer(SERVICE);
   t.true(await bench.registry.tryRevoke(SERVICE));
 });
+
+const CHECKED = {division: 'byKey', fencing: 'checked'} as ServiceRules;
+const OTHER_PORT = 2;
+
+/** Returns a daemon that has just started after a run that granted keys to a server. */
+function createRestartedBench(): Bench {
+  const bench = new Bench();
+  bench.rules = CHECKED;
+  bench.hasFollowed = true;
+  bench.earlier = [INFO];
+  const writer = {host: 'h1', incarnation: 'a'};
+  bench.assignment = {service: SERVICE, generation: 1, slices: [], writer};
+  return bench;
+}
+
+test('a server at another address than the one of the run before is pushed no grant until the grants of that run have ended', async t => {
+  const bench = createRestartedBench();
+  const other = {...INFO, address: {...INFO.address, port: OTHER_PORT}};
+  bench.registry.receiveAnnouncement(other);
+  bench.registry.sendGrants();
+  t.deepEqual(bench.granted, []);
+  t.false(await bench.registry.tryRevoke(SERVICE));
+  bench.registry.removeServer(SERVICE);
+  t.false(await bench.registry.tryRevoke(SERVICE), 'another one may hold keys');
+  bench.registry.receiveAnnouncement(other);
+  bench.system.shift(LEASE_DURATION_MS);
+  bench.registry.sendGrants();
+  t.deepEqual(bench.granted, [OTHER_PORT]);
+});
+
+test('a server that is heard before the run before is known confirms and ends no grant', async t => {
+  const bench = createRestartedBench();
+  bench.isJoined = false;
+  bench.registry.receiveAnnouncement(INFO);
+  t.false(await bench.registry.tryRevoke(SERVICE));
+  t.deepEqual(bench.granted, []);
+  bench.registry.removeServer(SERVICE);
+  t.false(await bench.registry.tryRevoke(SERVICE));
+});
+
+test('the server of the run before is pushed its grant at once', t => {
+  const bench = createRestartedBench();
+  bench.registry.receiveAnnouncement(INFO);
+  t.deepEqual(bench.granted, [1]);
+});
