Write counts of how callers' requests end and how many hosts each was offered to

Which work is spent on requests that end refused could not be told. Each daemon now writes one line in 5 s with all of them, by kind and end; 64 rows at most.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -45,6 +45,7 @@
 import {EARLIER_GRANTS_LAPSE_MS, SessionKeeper} from './session_keeper.js';
 import {RefusalLog} from './refusal_log.js';
 import {RequestLog} from './request_log.js';
+import {RequestTally} from './request_tally.js';
 import {countHosts} from './host_counts.js';
 import type {Settings} from './settings.js';
 import {type ControlStatus, StatusReader} from './status.js';
@@ -115,6 +116,7 @@
   private readonly loadReporter: LoadReporter;
   private readonly report: BurnReport;
   private readonly requestLog: RequestLog;
+  private readonly tally: RequestTally;
   private readonly status: StatusReader;
   private readonly gauges: GaugeReporter;
   /** Present where the configuration is read from a platform's own object. */
@@ -243,6 +245,10 @@
         loopLagMs: this.loop.getLagMs(),
       }),
     );
+    this.tally = new RequestTally(system, this.log.createPart('tally'));
+    this.entry.addEndListener((exchange, result, trail) => {
+      this.tally.observe(exchange, result, trail);
+    });
     this.loadBook = new LoadBook(system, settings.loadPace.reportMs);
     this.loadReporter = new LoadReporter(
       system,
@@ -285,6 +291,12 @@
     );
   }
 
+  private isBehind(): boolean {
+    const isBehind = this.loop.isBehind();
+    if (isBehind) this.tally.observeUnread('DD3034');
+    return isBehind;
+  }
+
   private countRefusal({target}: Exchange, {code, load}: SlotRefusal): void {
     this.metrics.addCount('slots.refused', 1, {
       service: target.service,
@@ -311,6 +323,7 @@
     this.witnesses.start();
     this.registry.start();
     this.gauges.start();
+    if (this.platform !== undefined) this.tally.start();
     this.running = [
       this.viewParts.follower.run(),
       ...(this.configuration === undefined ? [] : [this.configuration.run()]),
@@ -348,6 +361,7 @@
     this.coordinator.stop();
     this.loadReporter.stop();
     this.gauges.stop();
+    this.tally.stop();
     this.loop.stop();
     this.witnesses.stop();
     this.viewParts.relay.stop();
@@ -379,7 +393,7 @@
       registry,
       platform: this.platform,
       isReady: () => this.isReady(),
-      isBehind: () => this.loop.isBehind(),
+      isBehind: () => this.isBehind(),
       operators: {store, view, takeover, status, report},
       peers: this.getPeerServiceParts(),
       observe: (exchange, result) => {
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -36,6 +36,7 @@
 import type {AttemptResult, Exchange} from './exchange.js';
 import type {Forwarder} from './forwarder.js';
 import type {Owner} from './owner.js';
+import type {RequestTrail} from './request_tally.js';
 import {getPosition} from './request_position.js';
 import {ServingHosts} from './serving_hosts.js';
 import type {StoreView} from './store_view.js';
@@ -74,6 +75,13 @@
   | 'refreshAssignment'
 >;
 
+/** Is told how a request ended and what was done for it. */
+export type EndListener = (
+  exchange: Exchange,
+  result: AttemptResult,
+  trail: RequestTrail,
+) => void;
+
 interface Budgets {
   readonly failures: RetryBudget;
   readonly refusals: RetryBudget;
@@ -86,6 +94,7 @@
   private readonly choices = new Map<ServiceName, HostChoice>();
   private readonly sizes = new AnswerSizes();
   private readonly hosts: ServingHosts;
+  private onEnd: EndListener = () => {};
 
   constructor(
     private readonly system: System,
@@ -99,8 +108,23 @@
     this.hosts = new ServingHosts(view, selfHost);
   }
 
+  /** Calls back for each request that has ended. */
+  addEndListener(listener: EndListener): void {
+    this.onEnd = listener;
+  }
+
   /** Handles a request until it is answered or has failed for good. */
   async handle(exchange: Exchange): Promise<AttemptResult> {
+    const trail: RequestTrail = {offers: 0, hops: 0};
+    const result = await this.run(exchange, trail);
+    this.onEnd(exchange, result, trail);
+    return result;
+  }
+
+  private async run(
+    exchange: Exchange,
+    trail: RequestTrail,
+  ): Promise<AttemptResult> {
     const budgets = this.getBudgets(exchange.target.service);
     budgets.failures.addRequest();
     budgets.refusals.addRequest();
@@ -115,6 +139,7 @@
         refused === undefined ||
         mayResend(refused, route, budgets.refusals)
       ) {
+        countOffer(route, trail);
         const result = await this.tryRoute(route, exchange);
         if (result.kind === 'answered') {
           this.observeAnswer(exchange);
@@ -323,6 +348,12 @@
   return {...failure, retryAfterMs: Math.max(failure.retryAfterMs, leastMs)};
 }
 
+function countOffer(route: RouteDecision, trail: RequestTrail): void {
+  if (route.kind !== 'send') return;
+  trail.offers += 1;
+  if (!route.candidate.isLocal) trail.hops += 1;
+}
+
 /** Names the host that was asked; where none was, the one that was asked before. */
 function addHost(
   route: RouteDecision,
--- a/packages/daemon/test/request_log.test.ts
+++ b/packages/daemon/test/request_log.test.ts
@@ -9,10 +9,12 @@
 import {refuse} from '../src/failures.js';
 import {RefusalLog} from '../src/refusal_log.js';
 import {RequestLog} from '../src/request_log.js';
+import {RequestTally} from '../src/request_tally.js';
 import {ManualSystem} from './fakes.js';
 
 const BURST = 100;
 const MOST_LINES = 20;
+const MOST_ROWS = 64;
 
 class RecordingLog implements Log {
   readonly lines: LogFields[] = [];
@@ -76,3 +78,54 @@
   t.is(log.lines.length, MOST_LINES);
   t.snapshot(log.lines[0]);
 });
+
+test('counts of requests tell ends, offers and time, and are written at a steady pace', t => {
+  const system = new ManualSystem();
+  const log = new RecordingLog();
+  const tally = new RequestTally(system, log);
+  const exchange = {
+    kind: {name: 'r-menu'},
+    routed: {goalMs: 200},
+    receivedAt: system.getNow(),
+  } as unknown as Exchange;
+  const refused = {kind: 'failed', failure: refuse('DD3011', 10)} as const;
+  const answered = {kind: 'answered', status: 200, isCut: false} as const;
+  tally.start();
+  for (let request = 0; request < BURST; request++)
+    tally.observe(exchange, refused, {offers: 3, hops: 2});
+  tally.observe(exchange, answered, {offers: 1, hops: 0});
+  tally.observeUnread('DD3034');
+  t.is(log.lines.length, 0);
+  system.shift(5_000);
+  tally.observe(exchange, answered, {offers: 1, hops: 1});
+  system.shift(5_000);
+  system.shift(5_000);
+  t.deepEqual(
+    log.lines.map(({rows}) => rows),
+    [
+      'r-menu DD3011 100 300 200 0; r-menu 2xx 1 1 0 0; unread DD3034 1 0 0 0',
+      'r-menu 2xx-late 1 1 1 5000',
+    ],
+  );
+  tally.stop();
+  t.is(system.countTimers(), 0);
+});
+
+test('counts of many kinds are bounded', t => {
+  const system = new ManualSystem();
+  const log = new RecordingLog();
+  const tally = new RequestTally(system, log);
+  for (let kind = 0; kind < MOST_ROWS + BURST; kind++) {
+    const exchange = {
+      kind: {name: `r-${kind}`},
+      routed: {goalMs: 200},
+      receivedAt: system.getNow(),
+    } as unknown as Exchange;
+    const answered = {kind: 'answered', status: 200, isCut: false} as const;
+    tally.observe(exchange, answered, {offers: 1, hops: 1});
+  }
+  tally.stop();
+  const rows = String(log.lines[0]?.rows).split('; ');
+  t.is(rows.length, MOST_ROWS + 1);
+  t.is(rows[MOST_ROWS], `other ${BURST} ${BURST} ${BURST} 0`);
+});
