Let daemons that are cut off from the store with their relay follow any daemon that hears from it

Cause: five of fourteen daemons lose the store from second 1 to 13, among them the relay of valle-b and three of its four followers. The lines of b-1, b-2, b-4 and b-5 name generation 3 of the assignment and a silence of the store that grows to 13 s, while the rest of the fleet has generation 23. The followers follow the relay, which hears nothing; each looks at the store once, in vain, and stays; the relay follows one of its followers. Heavy slices of the two owners among them were cut meanwhile. An owner that has not seen a cut lets the whole of a slice go when a part of it is to move, cannot say so of the other parts, and refuses all of it.

Ruled out: a coordinator that does not reach the owner (releases asked of it are answered until second 3.5); a lost lease (none lapsed); the daemons' processors (the lag in these lines is 1 ms in the middle).

What changed: where the relay is silent, daemons ask up to four others of the whole fleet, once a second, and follow the first that hears from the store. A look costs no call to the store. Looks at the store itself are spread over 5 to 10 s; who gets an answer stays with it for 10 s, so that others find it.

Test (relay.test.ts): 14 daemons in three data centres, 0.35 and 0.7 of them cut off, none to all three relays among them: each change is known everywhere within 6 s.

--- a/packages/daemon/src/relay_client.ts
+++ b/packages/daemon/src/relay_client.ts
@@ -35,10 +35,14 @@
   ) {}
 
   /** Follows a daemon until the stream ends; returns the number of messages received. */
-  async watchRelay(address: Address, mayGoOn: FollowRule): Promise<number> {
+  async watchRelay(
+    address: Address,
+    mayGoOn: FollowRule,
+    firstAnswerMs = RELAY_SILENCE_MS,
+  ): Promise<number> {
     const controller = new AbortController();
     let messages = 0;
-    let cancel = this.startSilenceTimer(controller);
+    let cancel = this.startSilenceTimer(controller, firstAnswerMs);
     try {
       const stream = this.peers
         .getClient(address)
@@ -61,8 +65,11 @@
     return messages;
   }
 
-  private startSilenceTimer(controller: AbortController): () => void {
-    return this.system.startTimer(RELAY_SILENCE_MS, () => {
+  private startSilenceTimer(
+    controller: AbortController,
+    silenceMs = RELAY_SILENCE_MS,
+  ): () => void {
+    return this.system.startTimer(silenceMs, () => {
       controller.abort();
     });
   }
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -1,14 +1,15 @@
 /**
  * Chooses where this daemon's view comes from: the store itself if this daemon is the relay of its
- * data centre, that relay otherwise, and the store again when no relay serves. Daemons that start
- * while the store is down ask the peers of their settings.
+ * data centre, that relay otherwise, and the store again when no relay serves. Where a part of the fleet
+ * is cut off from the store, relay included, a daemon follows any other that hears from it. Daemons that
+ * start while the store is down ask the peers of their settings.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {Address, HostName} from '@dottereldrift/core/types.js';
 
 import {chooseRelay} from './relay_choice.js';
-import type {RelayClient} from './relay_client.js';
+import type {FollowRule, RelayClient} from './relay_client.js';
 import type {StoreView} from './store_view.js';
 import type {StoreWatcher} from './store_watcher.js';
 
@@ -18,14 +19,20 @@
 const MAX_RETRY_DELAY_MS = 2_000;
 /** Silence of the store after which followers look for themselves. */
 const MAX_STORE_SILENCE_MS = WATCH_WAIT_MS + 1_000;
-/** Time for a daemon to become the relay before its followers look for another. */
-const TAKE_OVER_MS = 2_000;
 /** Time for which a relay that failed is avoided. */
 const AVOID_MS = 10_000;
 /** Most time that a daemon waits before it goes to the store, so that not all go at once. */
 const STORE_JITTER_MS = 500;
-/** Time between two looks of a follower at a store that its relay cannot reach. */
+/** Most time between two looks of a follower at a store that its relay cannot reach. */
 const PROBE_INTERVAL_MS = 10_000;
+/** Time between two rounds in which other daemons are asked whether they hear from the store. */
+const LOOK_INTERVAL_MS = 1_000;
+/** Daemons that are asked in a round. */
+const LOOKS_PER_ROUND = 4;
+/** Time in which a daemon that is asked has to answer. */
+const LOOK_ANSWER_MS = 300;
+/** Time for which the store, or a daemon that hears from it, is followed in place of the relay. */
+const DETOUR_MS = 10_000;
 
 /** Where the view comes from. */
 export type ViewSource = 'none' | 'store' | 'relay' | 'peer';
@@ -44,7 +51,10 @@
   private readonly avoidedUntilMs = new Map<HostName, number>();
   private source: ViewSource = 'none';
   private isStopped = false;
-  private lastProbeMs = -Infinity;
+  private nextProbeMs = -Infinity;
+  private lastLookMs = -Infinity;
+  /** Tells whether the view came last from a daemon that was followed in place of the relay. */
+  private isDetoured = false;
 
   constructor(
     private readonly settings: FollowerSettings,
@@ -105,37 +115,114 @@
   private async watchStore(isFallback: boolean): Promise<boolean> {
     if (isFallback && this.source === 'relay') await this.waitForJitter();
     this.setSource('store');
-    if (await this.watcher.tryFollow(WATCH_WAIT_MS)) return true;
-    if (this.view.getSilenceMs() > MAX_STORE_SILENCE_MS)
-      this.setAvoided(this.settings.host);
-    return false;
+    if (await this.watcher.tryFollow(WATCH_WAIT_MS)) {
+      this.isDetoured = false;
+      return true;
+    }
+    if (!this.isDetoured && this.isFresh()) return false;
+    this.setAvoided(this.settings.host);
+    return this.tryDetour(this.settings.host);
   }
 
   private async watchRelay(host: HostName, address: Address): Promise<boolean> {
     this.setSource('relay');
     const startMs = this.system.getNow().monotonicMs;
-    let isProbeDue = false;
+    let isSilent = false;
     await this.client.watchRelay(address, ({storeSilenceMs}) => {
-      const nowMs = this.system.getNow().monotonicMs;
       if (this.isStopped || !this.isStillRelay(host)) return false;
-      if (storeSilenceMs <= MAX_STORE_SILENCE_MS) return true;
-      if (this.view.getSilenceMs() <= MAX_STORE_SILENCE_MS) return false;
-      const isNew = nowMs - startMs < TAKE_OVER_MS;
-      isProbeDue = !isNew && nowMs - this.lastProbeMs >= PROBE_INTERVAL_MS;
-      return !isProbeDue;
+      isSilent = storeSilenceMs > MAX_STORE_SILENCE_MS;
+      if (!isSilent) {
+        this.isDetoured = false;
+        return true;
+      }
+      return !this.isDetoured && !this.isFresh() && !this.isLookDue(startMs);
     });
     if (this.isStopped || !this.isStillRelay(host)) return true;
-    if (isProbeDue && !(await this.tryProbe())) return true;
-    this.setAvoided(host);
+    if (!isSilent || (!this.isDetoured && this.isFresh()))
+      this.setAvoided(host);
+    else await this.followAnother(host);
     return true;
   }
 
+  /** Follows the store or a daemon that hears from it, where the relay does not. */
+  private async followAnother(host: HostName): Promise<void> {
+    // Another daemon is asked first, for a store that is cut off takes a second to show it. After a detour
+    // the view is fresh and there is time.
+    if (!this.isDetoured && (await this.tryDetour(host))) return;
+    if (this.isProbeDue() && (await this.tryProbe())) {
+      await this.followStore();
+    } else if (this.isDetoured) {
+      await this.tryDetour(host);
+    }
+  }
+
+  /** Follows the store for a time, so that daemons that cannot reach it may follow this one. */
+  private async followStore(): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + DETOUR_MS;
+    this.isDetoured = false;
+    this.setSource('store');
+    while (!this.isStopped && this.system.getNow().monotonicMs < endMs)
+      if (!(await this.watcher.tryFollow(WATCH_WAIT_MS))) return;
+  }
+
+  /** Follows some other daemon while it hears from the store, for a time; false when none was found. */
+  private async tryDetour(relay: HostName): Promise<boolean> {
+    const others = this.view
+      .getLiveSessions()
+      .filter(({member: {host}}) => host !== relay && !this.isSelf(host));
+    this.isDetoured = false;
+    for (let look = 0; look < LOOKS_PER_ROUND && others.length > 0; look++) {
+      const index = Math.floor(this.system.getRandom() * others.length);
+      const [other] = others.splice(index, 1);
+      if (other === undefined || this.isStopped) break;
+      await this.watchOther(other.peerAddress);
+      if (this.isDetoured) return true;
+    }
+    this.lastLookMs = this.system.getNow().monotonicMs;
+    return false;
+  }
+
+  private async watchOther(address: Address): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + DETOUR_MS;
+    const mayGoOn: FollowRule = ({storeSilenceMs}) => {
+      if (storeSilenceMs > MAX_STORE_SILENCE_MS) return false;
+      this.isDetoured = true;
+      this.setSource('peer');
+      return !this.isStopped && this.system.getNow().monotonicMs < endMs;
+    };
+    await this.client.watchRelay(address, mayGoOn, LOOK_ANSWER_MS);
+  }
+
+  /** Tells whether the store was heard of lately. */
+  private isFresh(): boolean {
+    return this.view.getSilenceMs() <= MAX_STORE_SILENCE_MS;
+  }
+
+  /** A relay that was just chosen is given time to hear from the store. */
+  private isLookDue(watchedSinceMs: number): boolean {
+    const nowMs = this.system.getNow().monotonicMs;
+    const isNew = nowMs - watchedSinceMs < LOOK_INTERVAL_MS;
+    return !isNew && nowMs - this.lastLookMs >= LOOK_INTERVAL_MS;
+  }
+
+  private isProbeDue(): boolean {
+    return this.system.getNow().monotonicMs >= this.nextProbeMs;
+  }
+
+  private isSelf(host: HostName): boolean {
+    return host === this.settings.host;
+  }
+
   /** Tells whether the store answers here although the relay does not hear from it. */
   private async tryProbe(): Promise<boolean> {
     await this.waitForJitter();
     const isAnswered = await this.watcher.tryFollow(0);
-    if (!isAnswered) this.lastProbeMs = this.system.getNow().monotonicMs;
-    return isAnswered;
+    if (isAnswered) return true;
+    // Spread by chance, so that some daemon soon hears of a store that is back, and the others of it.
+    const share = (1 + this.system.getRandom()) / 2;
+    const nowMs = this.system.getNow().monotonicMs;
+    this.nextProbeMs = nowMs + PROBE_INTERVAL_MS * share;
+    return false;
   }
 
   private isStillRelay(host: HostName): boolean {
--- a/packages/daemon/test/relay.test.ts
+++ b/packages/daemon/test/relay.test.ts
@@ -16,6 +16,8 @@
 import {RelayFleet, type RelayNode} from './relay_fleet.js';
 
 const NODES = 6;
+const WIDE_NODES = 14;
+const DATA_CENTRES = 3;
 const SETTLE_MS = 8_000;
 const IN_FORCE_LIMIT_MS = 6_000;
 
@@ -28,6 +30,17 @@
   return fleet;
 }
 
+/** Creates a fleet as the users' smaller one: 14 daemons in three data centres. */
+async function createWideFleet(seed: number): Promise<RelayFleet> {
+  const generator = xoroshiro128plus(seed);
+  const fleet = new RelayFleet(() => uniformFloat64(generator));
+  for (let index = 1; index <= WIDE_NODES; index++)
+    await fleet.addNode(`h${index}`, `dc${index % DATA_CENTRES}`);
+  await fleet.writeManifest(1);
+  await fleet.runFor(SETTLE_MS);
+  return fleet;
+}
+
 function getRelay(fleet: RelayFleet): RelayNode {
   const [relay] = fleet.getRelays();
   if (relay === undefined) throw new Error('There is no relay.');
@@ -77,6 +90,38 @@
   });
 }
 
+for (const cutOff of [0.35, 0.7]) {
+  test(`what changes is known everywhere while ${cutOff} of the daemons are cut off from the store, relays first`, async t => {
+    for (let seed = 1; seed <= 6; seed++) {
+      const fleet = await createWideFleet(seed);
+      const relays = fleet.getRelays();
+      const others = fleet.nodes.filter(node => !relays.includes(node));
+      const most = Math.round(fleet.nodes.length * cutOff);
+      const cut = [...relays.slice(0, seed % 4), ...others].slice(0, most);
+      for (const node of cut) node.isCutOff = true;
+      await fleet.runFor(500);
+      for (let generation = 2; generation <= 4; generation++) {
+        await fleet.writeManifest(generation);
+        await fleet.runFor(IN_FORCE_LIMIT_MS);
+        for (const node of fleet.nodes) {
+          const where = `${node.name}, seed ${seed}`;
+          t.is(node.getGeneration(), generation, where);
+        }
+      }
+      const before = cut.map(node => node.counters.storeCalls);
+      await fleet.runFor(20_000);
+      for (const [index, node] of cut.entries()) {
+        const calls = node.counters.storeCalls - (before[index] ?? 0);
+        t.true(calls <= 60, `${node.name}, seed ${seed}: ${calls} calls`);
+      }
+      for (const node of cut) node.isCutOff = false;
+      await fleet.runFor(4 * SETTLE_MS);
+      t.is(fleet.getRelays().length, DATA_CENTRES, `seed ${seed}`);
+      fleet.stop();
+    }
+  });
+}
+
 test('an outage of the store does not make every daemon call it without pause', async t => {
   const fleet = await createFleet(3);
   fleet.isStoreOut = true;
@@ -90,7 +135,10 @@
   fleet.isStoreOut = false;
   await fleet.writeManifest(2);
   await fleet.runFor(IN_FORCE_LIMIT_MS);
-  t.true(fleet.nodes.every(node => node.getGeneration() === 2));
+  t.deepEqual(
+    fleet.nodes.map(node => node.getGeneration()),
+    fleet.nodes.map(() => 2),
+  );
   fleet.stop();
 });
 
--- a/packages/daemon/test/relay_fleet.ts
+++ b/packages/daemon/test/relay_fleet.ts
@@ -44,6 +44,7 @@
     readonly address: Address,
     fleet: RelayFleet,
     peers: readonly Address[],
+    dataCentre: string,
   ) {
     const {system} = fleet;
     this.view = new StoreView(system, LOG);
@@ -58,7 +59,7 @@
     );
     this.relay = new RelayServer(system, this.view, this.counters);
     this.follower = new ViewFollower(
-      {host: name, dataCentre: 'dc1', peers, isRelayed: true},
+      {host: name, dataCentre, peers, isRelayed: true},
       system,
       this.view,
       watcher,
@@ -72,7 +73,7 @@
   }
 }
 
-/** Nodes of one data centre. */
+/** Nodes, of one data centre unless others are named. */
 export class RelayFleet {
   readonly system: VirtualSystem;
   readonly store: MemoryStore;
@@ -86,15 +87,15 @@
   }
 
   /** Adds a daemon; its session is in the store if that answers. */
-  async addNode(name: string): Promise<RelayNode> {
+  async addNode(name: string, dataCentre = 'dc1'): Promise<RelayNode> {
     const port = FIRST_PORT + this.nodes.length;
     const address = {ip: '127.0.0.1', port};
     const peers = this.nodes.map(node => node.address);
-    const node = new RelayNode(name, address, this, peers);
+    const node = new RelayNode(name, address, this, peers, dataCentre);
     this.nodes.push(node);
     const session = encodeSession({
       member: {host: name, incarnation: 'a'},
-      dataCentre: 'dc1',
+      dataCentre,
       region: 'r1',
       peerAddress: address,
       callerPort: 1,
