Count a lease as lapsed where the two clocks have counted different times

The daemon of that host granted its keys once more when it went on, by a lease that had been ended while it stood still.

Cause: the holder believes in its lease until the earlier of two ends. The monotonic clock stands still in a suspension, and the wall clock was set back, so both ends were missed.

Fix: where the clocks have counted times since the sending of a heartbeat that differ by more than 20 ms, either way, its answer counts no more. It is looked at wherever the lease is consulted (isHeld, getEnd, which grants in answers and the coordinator use, and before heartbeats). It is final, so that faults which even out later change nothing, also for answers under way. Heartbeats are sent at once, and the renewal is told at once, so that the price of a step or a suspension is a round trip. A process that stood still between the reading of its two clocks reads them again before it gives its lease up.

What remains: a step back by just as long as the suspension, to within 20 ms, before the daemon looks again.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -15,10 +15,13 @@
 import {
   applyAnswer,
   createLeaseState,
+  dropDoubtfulAnswers,
+  findDoubtfulAnswer,
   getLeaseEnd,
   getWitnesses,
   isFencedForGood,
   isLeaseHeld,
+  isTimeKnown,
   type LeaseState,
   setWitnessSets,
 } from '@dottereldrift/membership/lease_holder.js';
@@ -58,6 +61,8 @@
 const MAX_FOLLOWED = 8;
 /** Sequences whose send times are kept; more than are sent within one lease. */
 const KEPT_SEQUENCES = 64;
+/** Least time between two rounds of heartbeats that clocks which differ bring about, in milliseconds. */
+const DOUBT_INTERVAL_MS = 100;
 
 /** What the session says of this host, apart from its witnesses and servers. */
 export type SessionIdentity = Pick<
@@ -83,8 +88,10 @@
   private lastEnd: Instant = {monotonicMs: -Infinity, wallMs: -Infinity};
   private sequence = 0;
   private readonly sentAt = new Map<number, Instant>();
+  private lastSentAt: Instant | undefined;
   private isStopped = false;
   private lastSetChangeMs = -Infinity;
+  private lastDoubtMs = -Infinity;
   /** Earlier runs on this host whose grants may still be in force, newest first. */
   private follows: readonly Incarnation[] = [];
   private earlierServers: readonly ServerInfo[] = [];
@@ -117,15 +124,17 @@
 
   /** Tells whether requests may be run now. */
   isHeld(): boolean {
+    const now = this.checkClocks();
     return (
       this.getSession() !== undefined &&
       !this.isEnding &&
-      isLeaseHeld(this.lease, this.system.getNow())
+      isLeaseHeld(this.lease, now)
     );
   }
 
   /** Returns when the lease ends unless it is renewed. */
   getEnd(): Instant {
+    this.checkClocks();
     return getLeaseEnd(this.lease);
   }
 
@@ -214,6 +223,49 @@
     else this.notifyRenewal();
   }
 
+  /**
+   * Returns the present instant. Ends the lease if the clocks have counted different times since it was
+   * renewed; heartbeats that are sent at once renew it within a round trip.
+   */
+  private checkClocks(): Instant {
+    const now = this.system.getNow();
+    if (this.findDoubtfulHeartbeat(now) === undefined) return now;
+    // A process that stood still between the reading of the two clocks sees them differ once.
+    const again = this.system.getNow();
+    const sentAt = this.findDoubtfulHeartbeat(again);
+    if (sentAt !== undefined) this.endDoubtfulLease(sentAt, again);
+    return again;
+  }
+
+  /** Earlier heartbeats whose answers are still to come were compared when the last one was sent. */
+  private findDoubtfulHeartbeat(now: Instant): Instant | undefined {
+    const {lastSentAt} = this;
+    return lastSentAt === undefined || isTimeKnown(lastSentAt, now)
+      ? findDoubtfulAnswer(this.lease, now)
+      : lastSentAt;
+  }
+
+  private endDoubtfulLease(sentAt: Instant, now: Instant): void {
+    this.lease = dropDoubtfulAnswers(this.lease, now);
+    for (const [sequence, at] of this.sentAt)
+      if (!isTimeKnown(at, now)) this.sentAt.delete(sequence);
+    this.lastSentAt = undefined;
+    this.lastEnd = {monotonicMs: -Infinity, wallMs: -Infinity};
+    if (now.monotonicMs - this.lastDoubtMs < DOUBT_INTERVAL_MS) return;
+    this.lastDoubtMs = now.monotonicMs;
+    this.log.writeWarning(
+      'The clocks have counted different times; the lease has to be renewed.',
+      {
+        member: formatMember(this.member),
+        heartbeat: this.sequence,
+        monotonicMs: Math.round(now.monotonicMs - sentAt.monotonicMs),
+        wallMs: Math.round(now.wallMs - sentAt.wallMs),
+        isHeld: isLeaseHeld(this.lease, now),
+      },
+    );
+    if (!this.isStopped) this.sendHeartbeats();
+  }
+
   private notifyRenewal(): void {
     const end = this.getEnd();
     const isEarly =
@@ -234,8 +286,10 @@
   }
 
   private sendHeartbeats(): void {
+    const now = this.checkClocks();
     this.sequence += 1;
-    this.sentAt.set(this.sequence, this.system.getNow());
+    this.sentAt.set(this.sequence, now);
+    this.lastSentAt = now;
     this.sentAt.delete(this.sequence - KEPT_SEQUENCES);
     for (const witness of getWitnesses(this.lease)) {
       const address = isSameMember(witness, this.member)
--- a/packages/daemon/test/session_keeper.test.ts
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests of what a daemon that starts again knows of the run before it.
+ * Tests of what a daemon that starts again knows of the run before it, and of its lease when clocks are faulty.
  */
 import test from 'ava';
 import * as E from 'fp-ts/lib/Either.js';
@@ -41,6 +41,8 @@
   readonly store = new MemoryStore(this.system);
   readonly view = new StoreView(this.system, LOG);
   readonly watcher = new StoreWatcher(this.store, this.view, LOG);
+  /** Sequences of the heartbeats that were sent. */
+  readonly sent: number[] = [];
   readonly keeper = new SessionKeeper(
     IDENTITY,
     this.system,
@@ -48,7 +50,9 @@
     this.view,
     {
       open: () => Promise.resolve(),
-      sendHeartbeat: () => {},
+      sendHeartbeat: (_address, {sequence}) => {
+        this.sent.push(sequence);
+      },
       sendAnswer: () => {},
       close: () => {},
     },
@@ -56,6 +60,33 @@
     LOG,
   );
 
+  /** Starts the daemon as its own witness, and answers its heartbeats so far. */
+  async startWithLease(): Promise<void> {
+    await this.watcher.tryFollow(0);
+    void this.keeper.run();
+    await runPromises();
+    this.answerLast();
+  }
+
+  /** Answers the last heartbeat. */
+  answerLast(): void {
+    this.answer(this.sent.at(-1) ?? 0);
+  }
+
+  answer(sequence: number): void {
+    const member = this.keeper.getMember();
+    this.keeper.receiveAnswer(member, member, sequence, false);
+  }
+
+  /** Moves the clocks while no timer fires: a suspension, a step, or both. */
+  moveClocks(monotonicMs: number, wallMs: number): void {
+    const {now} = this.system;
+    this.system.now = {
+      monotonicMs: now.monotonicMs + monotonicMs,
+      wallMs: now.wallMs + wallMs,
+    };
+  }
+
   async writeEarlierSession(): Promise<void> {
     const value = encodeSession({
       ...LOCATION,
@@ -100,3 +131,84 @@
   t.true(bench.keeper.isJoined());
   await bench.keeper.stop(true);
 });
+
+/** What the clocks count while a host is suspended for 2.3 s and its wall clock is set back by 2 s. */
+const LEFT_OVER_MS = 300;
+
+test('a lease is not held after clocks that differ have missed its end, until a later heartbeat is answered', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  t.true(bench.keeper.isHeld());
+  const sentBefore = [...bench.sent];
+  bench.moveClocks(0, LEFT_OVER_MS);
+  t.is(bench.keeper.getEnd().monotonicMs, -Infinity);
+  t.false(bench.keeper.isHeld());
+  t.is(bench.sent.length, sentBefore.length + 1);
+  bench.answer(sentBefore.at(-1) ?? 0);
+  t.false(bench.keeper.isHeld());
+  bench.answerLast();
+  t.true(bench.keeper.isHeld());
+  await bench.keeper.stop(true);
+});
+
+test('a renewal after clocks that differed is told at once', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  let renewals = 0;
+  bench.keeper.addRenewalListener(() => (renewals += 1));
+  bench.moveClocks(0, LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  bench.answerLast();
+  t.is(renewals, 1);
+  await bench.keeper.stop(true);
+});
+
+test('a lease whose clocks differed is not held again by its old answers when they agree again', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  bench.moveClocks(0, -LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  bench.moveClocks(0, LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  await bench.keeper.stop(true);
+});
+
+test('a heartbeat under way while the clocks differed renews nothing when they agree again', async t => {
+  const bench = new Bench();
+  await bench.watcher.tryFollow(0);
+  void bench.keeper.run();
+  await runPromises();
+  const sequence = bench.sent.at(-1) ?? 0;
+  bench.moveClocks(0, -LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  bench.moveClocks(0, LEFT_OVER_MS);
+  bench.answer(sequence);
+  t.false(bench.keeper.isHeld());
+  await bench.keeper.stop(true);
+});
+
+test('clocks that keep differing bring about no more heartbeats than one round in a while', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  const sentBefore = bench.sent.length;
+  for (let step = 0; step < 50; step++) {
+    bench.moveClocks(1, LEFT_OVER_MS);
+    t.false(bench.keeper.isHeld());
+    bench.answerLast();
+  }
+  t.is(bench.sent.length, sentBefore + 1);
+  await bench.keeper.stop(true);
+});
+
+test('a process that stood still between the reading of its two clocks keeps its lease', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  const {now} = bench.system;
+  const readings = [{...now, wallMs: now.wallMs + LEFT_OVER_MS}];
+  bench.system.getNow = () => readings.shift() ?? now;
+  const sentBefore = bench.sent.length;
+  t.true(bench.keeper.isHeld());
+  t.is(readings.length, 0);
+  t.is(bench.sent.length, sentBefore);
+  await bench.keeper.stop(true);
+});
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -12,6 +12,12 @@
 /** Allowance for clocks of two hosts that run at different rates. */
 export const DRIFT_MARGIN_MS = 100;
 
+/**
+ * Most by which the times differ that the two clocks of a host have counted when neither was stopped or
+ * set, in milliseconds.
+ */
+export const CLOCK_DIFFERENCE_LIMIT_MS = 20;
+
 /** Witnesses of a member in a small fleet. */
 export const SMALL_WITNESS_SET_SIZE = 3;
 
--- a/packages/membership/src/lease_holder.ts
+++ b/packages/membership/src/lease_holder.ts
@@ -4,11 +4,19 @@
  * The lease is held while a majority of every active witness set has answered heartbeats that were
  * sent within the lease duration less the drift margin, by the monotonic and by the wall clock. Two
  * sets are active from before a change of the set is written until its outcome is known.
+ *
+ * The monotonic clock stands still while the host is suspended, and the wall clock may be set back
+ * meanwhile, so each can miss the end. Where they have counted different times since a heartbeat was
+ * sent, the time that has passed is not known, and the answer to it does not count any more.
  */
 import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
 import type {Instant, Member} from '@dottereldrift/core/types.js';
 
-import {DRIFT_MARGIN_MS, LEASE_DURATION_MS} from './constants.js';
+import {
+  CLOCK_DIFFERENCE_LIMIT_MS,
+  DRIFT_MARGIN_MS,
+  LEASE_DURATION_MS,
+} from './constants.js';
 
 /** State of a lease at its holder. */
 export interface LeaseState {
@@ -50,6 +58,40 @@
   return {...state, answeredAt: new Map(state.answeredAt).set(name, sentAt)};
 }
 
+/**
+ * Returns when a heartbeat was sent whose answer counts although the time since is not known; undefined when
+ * there is none.
+ */
+export function findDoubtfulAnswer(
+  state: LeaseState,
+  now: Instant,
+): Instant | undefined {
+  for (const sentAt of state.answeredAt.values())
+    if (!isTimeKnown(sentAt, now)) return sentAt;
+  return undefined;
+}
+
+/**
+ * Drops the answers to heartbeats since which the time is not known. They do not count again when later
+ * faults of the clocks even out, so the state that is returned replaces the one that was looked at.
+ */
+export function dropDoubtfulAnswers(
+  state: LeaseState,
+  now: Instant,
+): LeaseState {
+  const known = [...state.answeredAt].filter(([, sentAt]) =>
+    isTimeKnown(sentAt, now),
+  );
+  return {...state, answeredAt: new Map(known)};
+}
+
+/** Tells whether both clocks have counted the same time between two instants. */
+export function isTimeKnown(from: Instant, to: Instant): boolean {
+  const monotonicMs = to.monotonicMs - from.monotonicMs;
+  const wallMs = to.wallMs - from.wallMs;
+  return Math.abs(wallMs - monotonicMs) <= CLOCK_DIFFERENCE_LIMIT_MS;
+}
+
 /** Makes the witness sets that may be in force count, a majority of each. */
 export function setWitnessSets(
   state: LeaseState,
--- a/packages/membership/test/lease_holder.test.ts
+++ b/packages/membership/test/lease_holder.test.ts
@@ -3,10 +3,16 @@
  */
 import test from 'ava';
 
-import {DRIFT_MARGIN_MS, LEASE_DURATION_MS} from '../src/constants.js';
+import {
+  CLOCK_DIFFERENCE_LIMIT_MS,
+  DRIFT_MARGIN_MS,
+  LEASE_DURATION_MS,
+} from '../src/constants.js';
 import {
   applyAnswer,
   createLeaseState,
+  dropDoubtfulAnswers,
+  findDoubtfulAnswer,
   isFencedForGood,
   isLeaseHeld,
   type LeaseState,
@@ -47,6 +53,29 @@
   t.false(isLeaseHeld(state, suspended));
 });
 
+test('an answer counts no more once the clocks have counted different times', t => {
+  const state = createHeldState();
+  for (const sign of [-1, 1]) {
+    const differenceMs = sign * CLOCK_DIFFERENCE_LIMIT_MS;
+    const within = {monotonicMs: 1, wallMs: 1_000_001 + differenceMs};
+    t.is(findDoubtfulAnswer(state, within), undefined);
+    t.true(isLeaseHeld(dropDoubtfulAnswers(state, within), within));
+    const beyond = {...within, wallMs: within.wallMs + sign};
+    t.deepEqual(findDoubtfulAnswer(state, beyond), createInstant(0));
+    const left = dropDoubtfulAnswers(state, beyond);
+    t.false(isLeaseHeld(left, beyond));
+    t.false(isLeaseHeld(left, createInstant(1)));
+  }
+});
+
+test('answers since whose heartbeats the clocks agree go on counting', t => {
+  const once = applyAnswer(createHeldState(), FIRST, createInstant(9), false);
+  const late = {monotonicMs: 9, wallMs: 2_000_000};
+  const state = applyAnswer(once, THIRD, late, false);
+  const left = dropDoubtfulAnswers(state, createInstant(10));
+  t.deepEqual([...left.answeredAt.keys()], ['h1#a', 'h2#a']);
+});
+
 test('two witness sets both need a majority', t => {
   const next = [{host: 'h4', incarnation: 'a'}];
   const changing = setWitnessSets(createHeldState(), [WITNESSES, next]);
--- a/packages/membership/test/lease_model.test.ts
+++ b/packages/membership/test/lease_model.test.ts
@@ -16,6 +16,8 @@
 
 /** One tick is as long as a lease lasts at its holder; two are longer than it lasts at a witness. */
 const TICK_MS = 1_900;
+/** Three of these are longer than a lease lasts at a witness, two are shorter than at its holder. */
+const FINE_TICK_MS = 710;
 const MAX_STATES = 1_000_000;
 
 const NO_FAULTS: Bounds = {
@@ -26,6 +28,7 @@
   isDuplicating: false,
   takers: 1,
   clockFaults: 0,
+  isCombiningFaults: false,
   restarts: 0,
   off: new Set(),
 };
@@ -35,8 +38,27 @@
   writes: 2,
 };
 const DELAYED: Bounds = {...NO_FAULTS, messages: 1, restarts: 1};
-const CLOCKS: Bounds = {...NO_FAULTS, clockFaults: 2};
-const MODELS = {changing: CHANGING, delayed: DELAYED, clocks: CLOCKS};
+/** Single faults of the clocks, of which one of the clocks shows each. */
+const CLOCKS: Bounds = {
+  ...NO_FAULTS,
+  clockFaults: 2,
+  off: new Set(['clocks-agree']),
+};
+const COMBINED_CLOCKS: Bounds = {
+  ...CLOCKS,
+  isCombiningFaults: true,
+  off: new Set(),
+};
+const FINE_CLOCKS: Bounds = {...COMBINED_CLOCKS, tickMs: FINE_TICK_MS};
+const DELAYED_CLOCKS: Bounds = {...FINE_CLOCKS, messages: 1};
+const MODELS = {
+  changing: CHANGING,
+  delayed: DELAYED,
+  clocks: CLOCKS,
+  combinedClocks: COMBINED_CLOCKS,
+  fineClocks: FINE_CLOCKS,
+  delayedClocks: DELAYED_CLOCKS,
+};
 
 interface Walk {
   readonly states: number;
@@ -96,11 +118,13 @@
   ['count-from-send', DELAYED],
   ['monotonic-clock', CLOCKS],
   ['wall-clock', CLOCKS],
+  ['clocks-agree', COMBINED_CLOCKS],
+  ['doubt-is-final', FINE_CLOCKS],
 ];
 
 for (const [rule, bounds] of RULES) {
   test(`the walk finds what happens without the rule ${rule}`, t => {
-    const {fault} = visitAll({...bounds, off: new Set([rule])});
+    const {fault} = visitAll({...bounds, off: new Set([...bounds.off, rule])});
     t.truthy(fault);
     t.log((fault ?? []).join(', '));
   });
--- a/packages/membership/test/lease_model.ts
+++ b/packages/membership/test/lease_model.ts
@@ -3,16 +3,19 @@
  * are those of the real state machines; the model adds only delays, losses, pauses and clock steps.
  *
  * Every instant is kept relative to the present and capped, so that the states are finite in number
- * without an end of time. A pause of the holder is a stretch in which it takes no step.
+ * without an end of time. A pause of the holder is a stretch in which it takes no step. It looks at its
+ * clocks after each tick and after each fault of them: faults that even out unseen deceive both clocks.
  */
 import type {Instant, Member} from '@dottereldrift/core/types.js';
 
 import {
   applyAnswer,
   createLeaseState,
+  dropDoubtfulAnswers,
   getMajority,
   getWitnesses,
   isLeaseHeld,
+  isTimeKnown,
   type LeaseState,
   setWitnessSets,
 } from '../src/lease_holder.js';
@@ -43,6 +46,8 @@
   | 'count-from-send'
   | 'monotonic-clock'
   | 'wall-clock'
+  | 'clocks-agree'
+  | 'doubt-is-final'
   | 'update-at-voted-version';
 
 /** How much of each fault a model allows. */
@@ -55,6 +60,8 @@
   readonly isDuplicating: boolean;
   readonly takers: number;
   readonly clockFaults: number;
+  /** Whether the wall clock is also set back while the holder is suspended. */
+  readonly isCombiningFaults: boolean;
   readonly restarts: number;
   readonly off: ReadonlySet<Rule>;
 }
@@ -112,6 +119,8 @@
 const WITNESS_OLD_MS = -2_101;
 /** Time by which a witness that does not wait counts the lease as lapsed too early. */
 const EARLY_MS = 2_200;
+/** Time by which the wall clock goes on when it is set back during a suspension that is longer. */
+const LEFT_OVER_MS = 300;
 
 const [A, B, C, D] = ['a', 'b', 'c', 'd'].map(host => ({
   host,
@@ -229,7 +238,9 @@
   const answeredAt = new Map(
     [...lease.answeredAt].map(([name, at]) => [name, chooseClocks(at, bounds)]),
   );
-  return isLeaseHeld({...lease, answeredAt}, NOW);
+  const seen = {...lease, answeredAt};
+  const isComparing = !bounds.off.has('clocks-agree');
+  return isLeaseHeld(isComparing ? dropDoubtfulAnswers(seen, NOW) : seen, NOW);
 }
 
 /** Makes a clock that is ignored agree with the other one. */
@@ -246,23 +257,42 @@
   const {tickMs} = bounds;
   const tick = {monotonicMs: tickMs, wallMs: tickMs};
   const ticks: Action[] = [
-    {name: 'tick', next: () => shiftTime(world, tick, tickMs)},
+    {name: 'tick', next: () => passTime(world, tick, bounds)},
   ];
   if (world.clockFaultsLeft === 0) return ticks;
   const faulty = {...world, clockFaultsLeft: world.clockFaultsLeft - 1};
   const suspended = {monotonicMs: 0, wallMs: tickMs};
   const steppedBack = {monotonicMs: tickMs, wallMs: 0};
-  return [
-    ...ticks,
+  const both = {monotonicMs: 0, wallMs: LEFT_OVER_MS};
+  const faults: Action[] = [
     {
       name: 'holder suspended',
-      next: () => shiftTime(faulty, suspended, tickMs),
+      next: () => passTime(faulty, suspended, bounds),
     },
     {
       name: 'wall clock set back',
-      next: () => shiftTime(faulty, steppedBack, tickMs),
+      next: () => passTime(faulty, steppedBack, bounds),
     },
   ];
+  if (bounds.isCombiningFaults) {
+    faults.push({
+      name: 'holder suspended, wall clock set back meanwhile',
+      next: () => passTime(faulty, both, bounds),
+    });
+  }
+  return [...ticks, ...faults];
+}
+
+/** Lets time pass, after which the holder looks at its clocks. */
+function passTime(world: World, atHolder: Instant, bounds: Bounds): World {
+  const passed = shiftTime(world, atHolder, bounds.tickMs);
+  const {off} = bounds;
+  if (off.has('clocks-agree') || off.has('doubt-is-final')) return passed;
+  return {
+    ...passed,
+    lease: dropDoubtfulAnswers(passed.lease, NOW),
+    messages: passed.messages.filter(({sentAt}) => isTimeKnown(sentAt, NOW)),
+  };
 }
 
 /** Lets time pass at the holder, by its clocks, and at the witnesses. */
--- a/packages/membership/test/lease_paths.test.ts
+++ b/packages/membership/test/lease_paths.test.ts
@@ -21,11 +21,12 @@
   isDuplicating: true,
   takers: 2,
   clockFaults: 6,
+  isCombiningFaults: true,
   restarts: 2,
   off: new Set(),
 };
 const SEED = 20_261;
-const RUNS = 800;
+const RUNS = 1_600;
 const MAX_STEPS = 120;
 
 /** Follows a path until a state in which two members may own the same key; returns its steps. */
--- a/packages/scenario/src/soak/fault_plan.ts
+++ b/packages/scenario/src/soak/fault_plan.ts
@@ -39,6 +39,8 @@
   /** Index of the host that it strikes; faults of the whole fleet ignore it. */
   readonly host: number;
   readonly forMs: number;
+  /** Step of a clock, in milliseconds; drawn when the fault strikes if absent. */
+  readonly stepMs?: number;
 }
 
 /** Bounds of a plan. */
--- a/packages/scenario/src/soak/soak_world.ts
+++ b/packages/scenario/src/soak/soak_world.ts
@@ -198,7 +198,7 @@
     const host = this.hosts[fault.host % this.hosts.length];
     if (host === undefined) return;
     this.write(`-- ${kind} ${host.name} for ${Math.round(forMs)} ms`);
-    const end = this.startFault(kind, host, forMs);
+    const end = this.startFault(fault, host);
     this.clock.startTimer(Math.min(forMs, this.getRestMs()), end);
   }
 
@@ -208,9 +208,8 @@
 
   /** Starts a fault; the returned function ends it. */
   private startFault(
-    kind: FaultKind,
+    {kind, forMs, stepMs}: PlannedFault,
     host: SoakHost,
-    forMs: number,
   ): () => void {
     const nothing = () => {};
     switch (kind) {
@@ -228,13 +227,8 @@
         return host.freezeDaemon(false);
       case 'host-suspended':
         return host.freezeDaemon(true);
-      case 'wall-clock-stepped': {
-        const stepMs = this.clock.getRandom() < 0.5 ? STEP_MS : -STEP_MS;
-        host.offsets.wallMs += stepMs;
-        return () => {
-          host.offsets.wallMs -= stepMs;
-        };
-      }
+      case 'wall-clock-stepped':
+        return this.setClock(host, stepMs);
       case 'server-killed':
         host.server.place.process.kill();
         this.startLater(() => {
@@ -261,6 +255,15 @@
     }
   }
 
+  private setClock({name, offsets}: SoakHost, stepMs?: number): () => void {
+    const byMs = stepMs ?? (this.clock.getRandom() < 0.5 ? STEP_MS : -STEP_MS);
+    offsets.wallMs += byMs;
+    this.write(`-- the clock of ${name} is set by ${byMs} ms`);
+    return () => {
+      offsets.wallMs -= byMs;
+    };
+  }
+
   private startSharedFault(kind: FaultKind, host: SoakHost): () => void {
     const {state, outageListeners} = this.store;
     const nothing = () => {};
--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -6,7 +6,7 @@
 
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
 
-import type {FaultKind} from '../src/soak/fault_plan.js';
+import type {FaultKind, PlannedFault} from '../src/soak/fault_plan.js';
 import {runSoak, type SoakOptions} from '../src/soak/soak_world.js';
 import type {VirtualDaemon} from '../src/virtual_daemon.js';
 
@@ -17,6 +17,12 @@
   'server-leaves',
 ];
 
+const CLOCK_KINDS: readonly FaultKind[] = [
+  'host-suspended',
+  'wall-clock-stepped',
+  'hot-keys-change',
+];
+
 async function countViolations(
   seeds: readonly number[],
   options: Omit<SoakOptions, 'seed'>,
@@ -44,6 +50,34 @@
   t.deepEqual(violations, []);
 });
 
+/** Plans that a host is suspended, and that its clock of the day is set back meanwhile and stays so. */
+function planSuspension(forMs: number, stepMs: number): SoakOptions {
+  const faults: readonly PlannedFault[] = [
+    {atMs: 10_000, kind: 'host-suspended', host: 0, forMs},
+    {atMs: 11_000, kind: 'wall-clock-stepped', host: 0, forMs: 30_000, stepMs},
+  ];
+  return {seed: 1, durationMs: 15_000, faults};
+}
+
+test('a host that was suspended grants nothing by a lease whose end its clocks have missed', async t => {
+  for (const forMs of [2_200, 2_500, 3_000]) {
+    const {violations} = await runSoak(planSuspension(forMs, -2_000));
+    t.deepEqual(violations, [], `${forMs} ms`);
+  }
+  const seeds = [52_007];
+  for (const seed of seeds) {
+    const {violations} = await runSoak({seed, kinds: CLOCK_KINDS});
+    t.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
+test('a host whose clock is set back by just as long as it was suspended grants nothing by an old lease', async t => {
+  for (const forMs of [2_500, 3_000]) {
+    const {violations} = await runSoak(planSuspension(forMs, -forMs));
+    t.deepEqual(violations, [], `${forMs} ms`);
+  }
+});
+
 test('no two servers hold a key while faults of all kinds strike', async t => {
   for (let seed = 1; seed <= CI_SEEDS; seed++) {
     const {violations, takenCount, completed} = await runSoak({seed});
