Keep the leave of a server that is not heard at the time

Cause: a leave was looked up among the servers that are heard now. Where there was none, it was acknowledged and forgotten. That happened in three ways, each with a test that failed first: the daemon has just started and has not heard the server; the server has been silent and was taken for lost; the leave was acknowledged by the run of the daemon before, whose session says so, and the heartbeats do not.

Evidence: before the fix "a server that has said that it ends before it was heard here gets no work when it is heard", "... while it was taken for lost ..." and "... to the run of the daemon before ..." fail.

Fix: a leave is noted for the life whose heartbeat was the last one of that identifier, also when it is silent. Where none was heard it is kept with the time of day and counts for the life that is heard next, unless that life began later: a server may start again under its identifier. 16 such leaves are kept at most. A life that the session of the run before names as leaving is leaving. The line for a leave is now written in every case, with the identifier and the life.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -50,6 +50,8 @@
  * late by as much loses no keys.
  */
 const RENEWAL_MARGIN_MS = 600;
+/** Leaves that are kept of servers which have not been heard; one server is to be expected. */
+const MAX_UNHEARD_LEAVES = 16;
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
@@ -72,6 +74,8 @@
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
   /** Lives of servers that have said that they end. */
   private readonly leftLives = new Set<string>();
+  /** When servers that this process had not heard said that they end, by the wall clock and their identifiers. */
+  private readonly unheardLeaves = new Map<string, number>();
   /** Rows that the last answer to each service's server had no room for. */
   private readonly leftOutRows = new Map<ServiceName, number>();
   private readonly answerWait: HeartbeatWait;
@@ -282,11 +286,8 @@
     if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
       return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
-    const hasLeft = this.leftLives.has(info.life ?? instanceId);
-    this.receiveAnnouncement(
-      {...info, isLeaving: info.isLeaving || hasLeft},
-      instanceId,
-    );
+    const isLeaving = info.isLeaving || this.hasLeft(heartbeat);
+    this.receiveAnnouncement({...info, isLeaving}, instanceId);
     return this.answerReport(info.service, report, waitedMs);
   }
 
@@ -319,14 +320,47 @@
     return this.answerWait.waitForNews(news, limitMs);
   }
 
-  /** Takes note that a server leaves which named itself; it may serve for a while yet. */
+  /**
+   * Takes note that a server leaves which named itself; it may serve for a while yet. One that has not been
+   * heard here is known by its first heartbeat.
+   */
   receiveLeave(instanceId: string): void {
-    for (const [service, entry] of this.entries) {
-      if (entry.instanceId !== instanceId) continue;
-      this.leftLives.add(entry.info.life ?? instanceId);
-      this.log.writeInfo('A backend server has said that it ends.', {service});
-      this.removeServer(service);
+    const last = [...this.lastHeartbeats.values()].find(
+      heartbeat => heartbeat.instanceId === instanceId,
+    );
+    this.log.writeInfo('A backend server has said that it ends.', {
+      instance: instanceId,
+      service: last?.info.service ?? '',
+      life: last?.info.life ?? '',
+    });
+    if (last === undefined) {
+      this.keepUnheardLeave(instanceId);
+      return;
     }
+    this.leftLives.add(last.info.life ?? instanceId);
+    this.removeServer(last.info.service);
+  }
+
+  private keepUnheardLeave(instanceId: string): void {
+    this.unheardLeaves.delete(instanceId);
+    this.unheardLeaves.set(instanceId, this.system.getNow().wallMs);
+    const [oldest] = this.unheardLeaves.keys();
+    if (oldest !== undefined && this.unheardLeaves.size > MAX_UNHEARD_LEAVES)
+      this.unheardLeaves.delete(oldest);
+  }
+
+  /** Tells whether a life has said that it ends, to this process or to a run of this daemon before it. */
+  private hasLeft({info, instanceId, bornAtMs}: ServerHeartbeat): boolean {
+    const life = info.life ?? instanceId;
+    const leftAtMs = this.unheardLeaves.get(instanceId);
+    this.unheardLeaves.delete(instanceId);
+    // A life that began after the leave has the identifier of the one that left.
+    if (leftAtMs !== undefined && bornAtMs <= leftAtMs)
+      this.leftLives.add(life);
+    const isLeftBefore = this.keeper
+      .getEarlierServers()
+      .some(earlier => earlier.isLeaving && earlier.life === life);
+    return isLeftBefore || this.leftLives.has(life);
   }
 
   /** Tells whether a server of this host is to go on when this daemon starts again. */
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -184,6 +184,55 @@
   t.false(bench.registry.isAccepting(SERVICE));
 });
 
+test('a server that has said that it ends before it was heard here gets no work when it is heard', t => {
+  const bench = new Bench();
+  bench.registry.receiveLeave('i-1');
+  bench.sendHeartbeat();
+  t.true(bench.published[0]?.isLeaving);
+  t.false(bench.registry.isAccepting(SERVICE));
+  bench.sendHeartbeat({sequence: 2});
+  t.true(bench.published[0]?.isLeaving);
+});
+
+test('a server that has said that it ends while it was taken for lost gets no work when it is heard again', t => {
+  const bench = new Bench();
+  bench.registry.start();
+  bench.sendHeartbeat();
+  for (let ms = 0; ms <= SERVER_SILENCE_MS; ms += 100) bench.system.shift(100);
+  t.is(bench.registry.getServer(SERVICE), undefined);
+  bench.registry.receiveLeave('i-1');
+  bench.sendHeartbeat({sequence: 2});
+  t.true(bench.published[0]?.isLeaving);
+  t.false(bench.registry.isAccepting(SERVICE));
+});
+
+test('a server that has said that it ends to the run of the daemon before gets no work from this one', t => {
+  const bench = new Bench();
+  bench.earlier = [{...createEarlier(`i-1/${BORN_MS}`, 3), isLeaving: true}];
+  bench.sendHeartbeat();
+  t.true(bench.published[0]?.isLeaving);
+  t.false(bench.registry.isAccepting(SERVICE));
+});
+
+test('a server that started again under its identifier after a leave that was not heard of is not leaving', t => {
+  const bench = new Bench();
+  bench.registry.receiveLeave('i-1');
+  bench.sendHeartbeat({bornAtMs: BORN_MS + 1});
+  t.false(bench.published[0]?.isLeaving);
+  t.true(bench.registry.isAccepting(SERVICE));
+});
+
+test('leaves of servers that are never heard are bounded', t => {
+  const bench = new Bench();
+  for (let index = 1; index <= 100; index++)
+    bench.registry.receiveLeave(`i-${index}`);
+  bench.sendHeartbeat({instanceId: 'i-1'});
+  t.false(bench.published[0]?.isLeaving);
+  bench.sendHeartbeat({instanceId: 'i-100', bornAtMs: BORN_MS});
+  bench.system.shift(100);
+  t.true(bench.published[0]?.isLeaving);
+});
+
 test('a daemon that has just started releases no slice before the grants of the run before it have ended', t => {
   const bench = new Bench();
   const release = () =>
