Count grants of the run before from the bind of this run's addresses

What callers would see: two servers hold a key, where two runs of one daemon overlap.

Cause: a run takes the grants of the run before it for ended one lease after its registry was made. That is before it binds its addresses. Until then the run before may still answer its server's heartbeats, so where more than the drift margin lies between the two, such a grant outlasts the wait, and the new run releases its keys. A run that cannot bind its addresses ends, so after the bind the run before can answer no more.

Evidence: with the bind one lease after the making, a slice was released at once: "grants of the run before end one lease after this run has bound its addresses, however late that is" fails before the fix.

Fix: the time counts from the start of the registry, which follows the bind of all listeners. Books that were made in between are made anew; nothing can have been granted from them, for there is no session before that.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -69,7 +69,8 @@
   private readonly lastInfos = new Map<ServiceName, ServerInfo>();
   /** Servers whose life has not been compared yet, because the store has not been read. */
   private readonly unjudged = new Set<ServiceName>();
-  private readonly startedAt: Instant;
+  /** From when on no earlier run of this daemon can answer a server of this host. */
+  private startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
   /** Lives of servers that have said that they end. */
@@ -479,8 +480,13 @@
     }
   }
 
-  /** Looks for lost servers until it is stopped. */
+  /**
+   * Looks for lost servers until it is stopped. The listeners of this daemon are bound by now, so that a run
+   * before this process cannot grant any more; it may have done so since this object was made.
+   */
   start(): void {
+    this.startedAt = this.system.getNow();
+    this.books.clear();
     const check = () => {
       if (this.isStopped) return;
       this.checkServers();
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -246,6 +246,22 @@
   t.is(release().length, 1);
 });
 
+test('grants of the run before end one lease after this run has bound its addresses, however late that is', t => {
+  const bench = new Bench();
+  const release = () =>
+    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      bench.held = [];
+    });
+  release();
+  bench.system.shift(LEASE_DURATION_MS);
+  bench.registry.start();
+  t.deepEqual(release(), []);
+  t.deepEqual(release(), []);
+  bench.system.shift(LEASE_DURATION_MS);
+  release();
+  t.is(release().length, 1);
+});
+
 test('a daemon that has just started does not end its session before the grants of the run before it have ended', async t => {
   const bench = new Bench();
   let isEnded = false;
