Keep names in the target by not shortening them

Cause: the target was minified with names kept, for which the bundler wraps every function in a call of Object.defineProperty, also the closures that a request creates. Names that are not shortened need no such call, and white space is still left out.

Safe: the command line's other bundle has been built without kept names all along, and its tests run it. Names differ only where two of one scope clash, as there.

--- a/scripts/build_target.mjs
+++ b/scripts/build_target.mjs
@@ -41,8 +41,9 @@
   entryPoints: ['packages/cli/src/main.ts'],
   outfile: 'target/program.cjs',
   bundle: true,
-  minify: true,
-  keepNames: true,
+  // Short names would need a call that names each function again, whenever one is created.
+  minifyWhitespace: true,
+  minifySyntax: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
