Keep what every process of a failed fleet test wrote

The tests of ownership and of scenarios on processes removed the directory of a run whether it had failed or not, and the output of the daemons was kept in memory alone, the last 20,000 characters.

With TEST_LOGS=DIRECTORY the directory of a failed run stays there: the whole output of each process, the servers' records, and for scenarios the evidence that was judged. A request whose connection failed says what it failed with. No check changes.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -103,7 +103,7 @@
 
   async startDaemon(host: FleetHost): Promise<FleetProcess> {
     this.writeSettings(host);
-    const daemon = new FleetProcess(`daemon ${host.name}`, [
+    const daemon = this.startProcess(`daemon ${host.name}`, [
       this.options.daemonMain ?? BUNDLE,
       'daemon',
       '--settings',
@@ -121,7 +121,7 @@
       serverMain === undefined
         ? [BACKEND_MAIN, JSON.stringify(host.serverOptions)]
         : [serverMain, service, ip, String(port), daemonUrl];
-    const server = new FleetProcess(`server ${host.name}`, command);
+    const server = this.startProcess(`server ${host.name}`, command);
     this.servers.set(host.name, server);
     await server.waitForOutput('listening');
     return server;
@@ -326,12 +326,21 @@
   }
 
   private async startStore(): Promise<void> {
-    this.store = new FleetProcess('store', [STORE_MAIN]);
+    this.store = this.startProcess('store', [STORE_MAIN]);
     await this.store.waitForOutput('listening');
     const port = /listening (\d+)/.exec(this.store.getOutput())?.[1] ?? '0';
     this.storeUrl = `http://127.0.0.1:${port}`;
   }
 
+  private startProcess(name: string, command: readonly string[]): FleetProcess {
+    const fileName = `${name.replace(' ', '-')}.log`;
+    return new FleetProcess(
+      name,
+      command,
+      join(this.options.directory, fileName),
+    );
+  }
+
   private writeSettings(host: FleetHost): void {
     const peers = this.hosts
       .slice(0, 3)
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -6,6 +6,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 
+import {getErrorText} from '@dottereldrift/core/errors.js';
 import type {Outcome} from '@dottereldrift/core/types.js';
 
 import {
@@ -46,8 +47,15 @@
   readonly target?: string;
   /** Host of that daemon, where it is known. */
   readonly entryHost?: string;
+  /** What the connection failed with, where it did. */
+  readonly fault?: string;
 }
 
+type RequestEnd = Pick<
+  LoadResult,
+  'outcome' | 'code' | 'status' | 'isOwnAnswer' | 'fault'
+>;
+
 const TICK_MS = 2;
 const CLIENT_CONNECTIONS = 64;
 const CLIENT_TIMEOUT_MS = 10_000;
@@ -138,7 +146,7 @@
     requestId: string,
     key: string | undefined,
     idempotencyKey: string | undefined,
-  ): Promise<Pick<LoadResult, 'outcome' | 'code' | 'status' | 'isOwnAnswer'>> {
+  ): Promise<RequestEnd> {
     try {
       const answer = await this.agent.request({
         origin: target,
@@ -170,7 +178,8 @@
       const isRefused =
         (error as {readonly code?: string}).code === 'ECONNREFUSED';
       const outcome = isRefused ? 'not-run' : 'unknown';
-      return {outcome, code: 'connection', status: 0, isOwnAnswer: true};
+      const fault = getErrorText(error);
+      return {outcome, code: 'connection', status: 0, isOwnAnswer: true, fault};
     }
   }
 
--- a/packages/bench/src/processes.ts
+++ b/packages/bench/src/processes.ts
@@ -2,6 +2,7 @@
  * Starts, pauses and ends the processes of a test fleet. Only processes started here are ended.
  */
 import {type ChildProcess, spawn} from 'node:child_process';
+import {appendFileSync} from 'node:fs';
 
 const START_TIMEOUT_MS = 20_000;
 const MAX_KEPT_OUTPUT = 20_000;
@@ -15,6 +16,8 @@
   constructor(
     readonly name: string,
     command: readonly string[],
+    /** File to which the whole output is appended; none when absent. */
+    private readonly logPath?: string,
   ) {
     this.child = spawn(process.execPath, [...command], {
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -76,6 +79,7 @@
   }
 
   private addOutput(text: string): void {
+    if (this.logPath !== undefined) appendFileSync(this.logPath, text);
     this.output = (this.output + text).slice(-MAX_KEPT_OUTPUT);
   }
 }
--- a/packages/bench/test/ownership.process.test.ts
+++ b/packages/bench/test/ownership.process.test.ts
@@ -1,10 +1,6 @@
 /**
  * Losses and moves of owners on real processes, under load, judged by the servers' records.
  */
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
-
 import test, {type ExecutionContext} from 'ava';
 
 import {type Deployment, findDeployment} from '../src/deployments.js';
@@ -13,6 +9,7 @@
 import {Fleet, type FleetHost} from '../src/fleet.js';
 import {findViolations} from '../src/judge.js';
 import {LoadGenerator} from '../src/load.js';
+import {runInDirectory} from '../src/run_directory.js';
 
 const REQUESTS_PER_SECOND = 80;
 const KEYS = 200;
@@ -34,36 +31,37 @@
   t: ExecutionContext,
   makeFault: (fleet: Fleet, victim: FleetHost) => Promise<void>,
 ): Promise<void> {
-  const deployment = createSmallDeployment();
-  const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-test-'));
-  const fleet = new Fleet({deployment, directory, stragglerShare: 0.02});
-  try {
-    await fleet.start();
-    const victim = fleet.getHost('menu-2');
-    const generator = new LoadGenerator({
-      deployment,
-      targets: fleet.hosts
-        .filter(host => host !== victim)
-        .map(host => fleet.getCallerUrl(host)),
-      requestsPerSecond: REQUESTS_PER_SECOND,
-      durationMs: LOAD_MS,
-      seed: 11,
-      keys: KEYS,
-    });
-    const [results] = await Promise.all([
-      generator.run(),
-      makeFault(fleet, victim),
-    ]);
-    const records = fleet.readRecords();
-    t.deepEqual(findViolations(results, records), []);
-    t.true(results.some(result => result.outcome === 'completed'));
-  } catch (error) {
-    t.log(fleet.getLastWords().join('\n'));
-    throw error;
-  } finally {
-    await fleet.stop();
-    rmSync(directory, {recursive: true, force: true});
-  }
+  await runInDirectory('ownership', async directory => {
+    const deployment = createSmallDeployment();
+    const fleet = new Fleet({deployment, directory, stragglerShare: 0.02});
+    try {
+      await fleet.start();
+      const victim = fleet.getHost('menu-2');
+      const generator = new LoadGenerator({
+        deployment,
+        targets: fleet.hosts
+          .filter(host => host !== victim)
+          .map(host => fleet.getCallerUrl(host)),
+        requestsPerSecond: REQUESTS_PER_SECOND,
+        durationMs: LOAD_MS,
+        seed: 11,
+        keys: KEYS,
+      });
+      const [results] = await Promise.all([
+        generator.run(),
+        makeFault(fleet, victim),
+      ]);
+      const records = fleet.readRecords();
+      const isKept = t.deepEqual(findViolations(results, records), []);
+      const hasServed = results.some(result => result.outcome === 'completed');
+      return t.true(hasServed) && isKept;
+    } catch (error) {
+      t.log(fleet.getLastWords().join('\n'));
+      throw error;
+    } finally {
+      await fleet.stop();
+    }
+  });
 }
 
 /** Kills the daemon of a host once its server has run requests of several keys. */
@@ -214,38 +212,40 @@
     if (menu === undefined) throw new Error('The service is missing.');
     const maxRunMs = 3_000;
     const rules = {...menu, fencing: 'none' as const, maxRunMs};
-    const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-test-'));
-    const fleet = new Fleet({
-      deployment: {...deployment, manifest: {services: {menu: rules}}},
-      directory,
-      stragglerShare: 0,
-      isFencing: false,
-    });
-    try {
-      await fleet.start();
-      const victim = fleet.getHost('menu-2');
-      const generator = new LoadGenerator({
-        deployment,
-        targets: fleet.hosts
-          .filter(host => host !== victim)
-          .map(host => fleet.getCallerUrl(host)),
-        requestsPerSecond: REQUESTS_PER_SECOND,
-        durationMs: LOAD_MS + maxRunMs,
-        seed: 12,
-        keys: KEYS,
+    await runInDirectory('ownership', async directory => {
+      const fleet = new Fleet({
+        deployment: {...deployment, manifest: {services: {menu: rules}}},
+        directory,
+        stragglerShare: 0,
+        isFencing: false,
       });
-      const [results] = await Promise.all([
-        generator.run(),
-        killAfterRuns(fleet, victim),
-      ]);
-      const records = fleet.readRecords();
-      t.deepEqual(findViolations(results, records), []);
-      const gaps = listTakeoverGaps(records, victim);
-      t.true(gaps.length > 0);
-      t.true(gaps.every(gapMs => gapMs >= maxRunMs));
-    } finally {
-      await fleet.stop();
-      rmSync(directory, {recursive: true, force: true});
-    }
+      try {
+        await fleet.start();
+        const victim = fleet.getHost('menu-2');
+        const generator = new LoadGenerator({
+          deployment,
+          targets: fleet.hosts
+            .filter(host => host !== victim)
+            .map(host => fleet.getCallerUrl(host)),
+          requestsPerSecond: REQUESTS_PER_SECOND,
+          durationMs: LOAD_MS + maxRunMs,
+          seed: 12,
+          keys: KEYS,
+        });
+        const [results] = await Promise.all([
+          generator.run(),
+          killAfterRuns(fleet, victim),
+        ]);
+        const records = fleet.readRecords();
+        const isKept = t.deepEqual(findViolations(results, records), []);
+        const gaps = listTakeoverGaps(records, victim);
+        const hasGaps = t.true(gaps.length > 0);
+        return (
+          t.true(gaps.every(gapMs => gapMs >= maxRunMs)) && hasGaps && isKept
+        );
+      } finally {
+        await fleet.stop();
+      }
+    });
   },
 );
--- a/packages/scenario/src/process_world.ts
+++ b/packages/scenario/src/process_world.ts
@@ -3,8 +3,7 @@
  * each daemon and the store.
  */
 import {createHash} from 'node:crypto';
-import {mkdtempSync, rmSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 
 import type {Deployment} from '@dottereldrift/bench/deployments.js';
@@ -37,15 +36,16 @@
 const SLOTS = 6;
 const CONNECTIONS = 120;
 const SETTLE_LIMIT_MS = 10_000;
+const EVIDENCE_FILE = 'evidence.json';
 
 const system = createNodeSystem();
 
-/** Runs a script on processes of its own, which end with it. */
+/** Runs a script on processes of its own, which end with it; the evidence is kept with their output. */
 export async function runOnProcesses(
   script: Script,
   seed: number,
+  directory: string,
 ): Promise<Evidence> {
-  const directory = mkdtempSync(join(tmpdir(), 'dottereldrift-scenario-'));
   const fleet = new Fleet({
     deployment: createDeployment(script),
     directory,
@@ -54,10 +54,13 @@
   });
   try {
     await fleet.start();
-    return await new ProcessWorld(script, fleet).run(seed);
+    const evidence = await new ProcessWorld(script, fleet).run(seed);
+    const unixMs = Date.now() - getNowMs() + evidence.startedAtMs;
+    const text = JSON.stringify({...evidence, startedAtUnixMs: unixMs});
+    writeFileSync(join(directory, EVIDENCE_FILE), text);
+    return evidence;
   } finally {
     await fleet.stop();
-    rmSync(directory, {recursive: true, force: true});
   }
 }
 
--- a/packages/scenario/test/scenarios.process.test.ts
+++ b/packages/scenario/test/scenarios.process.test.ts
@@ -3,6 +3,8 @@
  */
 import test from 'ava';
 
+import {runInDirectory} from '@dottereldrift/bench/run_directory.js';
+
 import {findBroken} from '../src/evidence.js';
 import {readScripts} from '../src/parse_script.js';
 import {runOnProcesses} from '../src/process_world.js';
@@ -12,11 +14,13 @@
 for (const script of readScripts()) {
   if (!script.isForProcesses) continue;
   test.serial(`processes "${script.name}"`, async t => {
-    const evidence = await runOnProcesses(script, SEED);
-    t.deepEqual(findBroken(script, evidence), []);
-    const completed = evidence.results.filter(
-      result => result.outcome === 'completed',
-    );
-    t.true(completed.length > evidence.results.length / 2);
+    await runInDirectory('scenario', async directory => {
+      const evidence = await runOnProcesses(script, SEED, directory);
+      const isKept = t.deepEqual(findBroken(script, evidence), []);
+      const completed = evidence.results.filter(
+        result => result.outcome === 'completed',
+      );
+      return t.true(completed.length > evidence.results.length / 2) && isKept;
+    });
   });
 }
