Begin one request in a turn of the event loop, so that new connections are taken

Cause: Node.js takes one new connection in each turn of its event loop for each listener (libuv 1.46), whatever number waits. Where many requests begin in a turn, it lasts hundreds of milliseconds, and new connections wait in the order in which they came until their callers give up. The ready address is a listener of its own with one probe a second, so it answers at once all the while.

Requests that are read in one turn now wait for a turn each, in order, so a turn begins one request and takes one connection. A request that has waited for longer than the lag from which a daemon refuses work is refused in the same way, and so is what is read behind it. A caller that left meanwhile is noticed. A request that comes alone waits for nothing. The cost is one more turn of the loop for each request; nothing grows with the fleet or the keys.

Routed requests only: requests of the daemon's own API still begin as they are read.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -379,7 +379,7 @@
       registry,
       platform: this.platform,
       isReady: () => this.isReady(),
-      isBehind: () => this.loop.isBehind(),
+      isBehind: waitedMs => this.loop.isBehind(waitedMs),
       operators: {store, view, takeover, status, report},
       peers: this.getPeerServiceParts(),
       observe: (exchange, result) => {
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -60,8 +60,8 @@
   readonly platform: HostPlatform | undefined;
   /** Tells whether callers are served here. */
   readonly isReady: () => boolean;
-  /** Tells whether this daemon is too late with its work to begin more. */
-  readonly isBehind: () => boolean;
+  /** Tells whether this daemon is too late with its work to begin what has waited for some milliseconds. */
+  readonly isBehind: (waitedMs: number) => boolean;
 }
 
 /** Listeners that are open. */
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -37,9 +37,12 @@
     this.cancel();
   }
 
-  /** Tells whether requests that are read now have waited too long to be begun. */
-  isBehind(): boolean {
-    return this.getLagMs() > MAX_LAG_MS;
+  /**
+   * Tells whether requests that are read now, or have waited here for some milliseconds, have waited too long
+   * to be begun.
+   */
+  isBehind(waitedMs = 0): boolean {
+    return Math.max(waitedMs, this.getLagMs()) > MAX_LAG_MS;
   }
 
   /** Returns how late this process is with its work, in milliseconds. */
--- a/packages/daemon/src/request_body.ts
+++ b/packages/daemon/src/request_body.ts
@@ -92,12 +92,17 @@
     // The rest of this turn of the event loop, and the one that reads the end of a connection.
     setImmediate(() => {
       setImmediate(() => {
-        resolve(request.destroyed || request.socket.readableEnded);
+        resolve(isGone(request));
       });
     });
   });
 }
 
+/** Tells whether the end of the caller's side of a connection has been read. */
+export function isGone(request: IncomingMessage): boolean {
+  return request.destroyed || request.socket.readableEnded;
+}
+
 /** Watches whether the caller leaves before its answer is whole. */
 export function watchAbandonment(
   request: IncomingMessage,
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -36,10 +36,12 @@
 import {
   type BadRequest,
   hasLeft,
+  isGone,
   readBody,
   watchAbandonment,
 } from './request_body.js';
 import type {Limits} from './settings.js';
+import {TurnQueue} from './turn_queue.js';
 
 /** Path on the peer listener before that of a routed request. */
 export const ROUTED_PREFIX = '/routed';
@@ -58,6 +60,9 @@
 const ENVELOPE_FIELDS = 7;
 const IDEMPOTENT_MARK = '1';
 
+const BEHIND: BadRequest = {status: 503, message: createMessage('DD3034')};
+const LEFT: BadRequest = {status: 503, message: createMessage('DD3022')};
+
 /** An owner sends each request once. */
 const OWNER_ATTEMPTS = 1;
 const NO_CONDITIONS = {};
@@ -74,6 +79,7 @@
 export class RoutedExchangeFactory {
   private selector: RouteSelector | undefined;
   private selectorManifest: Manifest | undefined;
+  private readonly turns: TurnQueue;
 
   constructor(
     private readonly system: System,
@@ -82,9 +88,11 @@
     /** Service whose requests and callers are on this host. */
     private readonly getOrigin: () => ServiceName,
     private readonly getAccepted: () => AcceptedManifest | undefined,
-    /** Tells whether this daemon is too late with its work to begin more. */
-    private readonly isBehind: () => boolean = () => false,
-  ) {}
+    /** Tells whether this daemon is too late with its work to begin what has waited for some milliseconds. */
+    private readonly isBehind: (waitedMs: number) => boolean = () => false,
+  ) {
+    this.turns = new TurnQueue(system);
+  }
 
   /** Checks a caller's request and reads as much of its body as is kept for retries. */
   createFromCaller(
@@ -107,14 +115,14 @@
     response: ServerResponse,
     selected: E.Either<BadRequest, Selected>,
   ): Promise<E.Either<BadRequest, Exchange>> {
-    if (this.isBehind())
-      return E.left({status: 503, message: createMessage('DD3034')});
+    if (this.isBehind(this.turns.getWaitMs())) return E.left(BEHIND);
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
     const abandonment = watchAbandonment(request, response);
     const {target, rules, kind, routed, deadlineMs} = selected.right;
-    if (await hasLeft(request))
-      return E.left({status: 503, message: createMessage('DD3022')});
+    if (await hasLeft(request)) return E.left(LEFT);
+    if (this.isBehind(await this.turns.waitForTurn())) return E.left(BEHIND);
+    if (isGone(request)) return E.left(LEFT);
     const body = await readBody(this.system, this.limits, request, deadlineMs);
     if (E.isLeft(body)) return body;
     return E.right({
--- /dev/null
+++ b/packages/daemon/test/turn_queue.test.ts
@@ -0,0 +1,110 @@
+/**
+ * Tests that new connections are taken while many requests come on others.
+ */
+import {once} from 'node:events';
+import {type AddressInfo, connect, type Socket} from 'node:net';
+
+import test from 'ava';
+
+import {createNodeSystem} from '@dottereldrift/core/system.js';
+import type {AcceptedManifest} from '@dottereldrift/manifest/types.js';
+
+import type {CallerProtocol} from '../src/caller_protocol.js';
+import type {AttemptResult} from '../src/exchange.js';
+import {refuse} from '../src/failures.js';
+import {
+  addRoutedCallerRoutes,
+  createListener,
+} from '../src/request_listener.js';
+import {RoutedExchangeFactory} from '../src/routed_exchange_factory.js';
+
+import {createLimits} from './fakes.js';
+
+const KEPT_CONNECTIONS = 200;
+const NEW_CONNECTIONS = 20;
+/** Requests that may begin for each new connection that waits. */
+const MAX_REQUESTS_EACH = 4;
+const REQUEST = 'GET /menu/1 HTTP/1.1\r\nhost: shop.example\r\n\r\n';
+
+const ACCEPTED = {
+  generation: 1,
+  sourceVersion: 1,
+  manifest: {
+    services: {menu: {division: 'none', kinds: []}},
+    routes: [
+      {
+        name: 'menu',
+        host: 'shop.example',
+        pathPrefix: '/menu/',
+        goalMs: 100,
+        kind: {name: 'read', deadlineMs: 1_000},
+        parts: [{service: 'menu', weight: 1}],
+      },
+    ],
+  },
+} as unknown as AcceptedManifest;
+
+const PROTOCOL: CallerProtocol = {
+  parseRequest: () => ({requestId: 'a', deadlineMs: 800, key: undefined}),
+  createServerHeaders: () => ({}),
+  isServerRefusal: () => false,
+  isForeignAnswer: () => false,
+  createProblemHead: () => ({status: 503, headers: {}}),
+};
+
+/** Sends the next request on a connection as soon as one is answered. */
+function keepRequesting(socket: Socket): void {
+  socket.write(REQUEST);
+  socket.on('data', () => socket.write(REQUEST));
+}
+
+test('new connections are taken although many requests come on others at a time', async t => {
+  let begun = 0;
+  const factory = new RoutedExchangeFactory(
+    createNodeSystem(),
+    createLimits(),
+    PROTOCOL,
+    () => 'menu',
+    () => ACCEPTED,
+  );
+  const app = createListener({...createLimits(), callerConnections: 1_000});
+  const handle = (): Promise<AttemptResult> => {
+    begun += 1;
+    return Promise.resolve({kind: 'failed', failure: refuse('DD3004', 10)});
+  };
+  addRoutedCallerRoutes(
+    app,
+    PROTOCOL,
+    factory,
+    handle,
+    () => {},
+    () => {},
+  );
+  await app.listen({host: '127.0.0.1', port: 0});
+  const {port} = app.server.address() as AddressInfo;
+  const kept = Array.from({length: KEPT_CONNECTIONS}, () =>
+    connect(port, '127.0.0.1'),
+  );
+  await Promise.all(kept.map(socket => once(socket, 'connect')));
+  for (const socket of kept) keepRequesting(socket);
+  await new Promise(resolve => setTimeout(resolve, 100));
+  const begunBefore = begun;
+  let taken = 0;
+  const isAllTaken = new Promise<void>(resolve => {
+    app.server.on('connection', () => {
+      taken += 1;
+      if (taken === NEW_CONNECTIONS) resolve();
+    });
+  });
+  const added = Array.from({length: NEW_CONNECTIONS}, () =>
+    connect(port, '127.0.0.1'),
+  );
+  await isAllTaken;
+  const meanwhile = begun - begunBefore;
+  for (const socket of [...kept, ...added]) socket.destroy();
+  await app.close();
+  t.true(
+    meanwhile <= NEW_CONNECTIONS * MAX_REQUESTS_EACH,
+    `${meanwhile} requests began while ${NEW_CONNECTIONS} connections waited`,
+  );
+});
