Take the connections that wait before a listener closes

Cause: a turn of the event loop takes one new connection for each listener, and a listener closed after two turns. Connections that were established and not yet taken are reset by the kernel then, with the requests that were sent on them.

A listener closes after a turn that has taken no connection, after 0.5 s at most. Connections that were taken are then answered or told that nothing was run, as before.

--- a/packages/daemon/src/listener_drain.ts
+++ b/packages/daemon/src/listener_drain.ts
@@ -15,10 +15,14 @@
 const LINGER_MS = 500;
 /** Time in which the first request, or the rest of a head, arrives on a connection that was open at the end. */
 const FIRST_REQUEST_MS = 500;
+/** Most time for which a listener that closes still takes the connections that wait. */
+const WAITING_CONNECTIONS_MS = 500;
 
 /** Drains one listener. */
 export class ListenerDrain {
   private isDraining = false;
+  /** Connections that were taken. */
+  private taken = 0;
   private readonly sockets = new Set<Socket>();
   private readonly ended = new WeakSet<Socket>();
 
@@ -32,6 +36,7 @@
       if (this.isDraining) response.shouldKeepAlive = false;
     });
     app.server.on('connection', socket => {
+      this.taken += 1;
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
     });
@@ -65,17 +70,30 @@
    * arrived, so that few requests are refused.
    */
   async close(): Promise<void> {
-    await new Promise(resolve => setImmediate(resolve));
+    await waitForTurn();
+    await this.takeWaitingConnections();
     await new Promise<void>(resolve => {
-      setImmediate(() => {
-        this.app.server.close(() => {
-          resolve();
-        });
+      this.app.server.close(() => {
+        resolve();
       });
     });
     await this.app.close();
   }
 
+  /**
+   * Waits until a turn of the event loop has taken no connection. A turn takes one, and those that still wait
+   * as the listener closes are reset, with what was sent on them.
+   */
+  private async takeWaitingConnections(): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + WAITING_CONNECTIONS_MS;
+    for (;;) {
+      const takenBefore = this.taken;
+      await waitForTurn();
+      if (this.taken === takenBefore) return;
+      if (this.system.getNow().monotonicMs >= endMs) return;
+    }
+  }
+
   /** Ends the connections that the server would close at once, and later those that still have no request. */
   private endIdle(closeIdle: () => void): void {
     const sockets = [...this.sockets];
@@ -127,6 +145,13 @@
   }
 }
 
+/** Waits until the next turn of the event loop has read what had arrived. */
+function waitForTurn(): Promise<void> {
+  return new Promise(resolve => {
+    setImmediate(resolve);
+  });
+}
+
 /** Returns the answer that is under way on a connection, or the first of several. */
 function getResponse(socket: Socket): ServerResponse | undefined {
   const {_httpMessage: response} = socket as {
--- a/packages/daemon/test/listener_drain.test.ts
+++ b/packages/daemon/test/listener_drain.test.ts
@@ -15,6 +15,8 @@
 
 /** Time after which an answer that is under way is finished. */
 const ANSWER_DELAY_MS = 100;
+const WAITING_CONNECTIONS = 20;
+const PAUSE_MS = 50;
 const REFUSAL = 'HTTP/1.1 503 X\r\ncontent-length: 7\r\n\r\nnot run';
 const REQUEST = 'GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n';
 
@@ -39,6 +41,11 @@
   return {app, drain, handled, port};
 }
 
+/** Stops the event loop for a time, as a busy host does. */
+function pauseLoop(timeMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, timeMs);
+}
+
 async function readAnswer(socket: Socket): Promise<string> {
   const chunks: Buffer[] = [];
   socket.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -68,6 +75,24 @@
   await closed;
 });
 
+test('requests on connections that wait to be accepted as the listener closes are answered', async t => {
+  const {drain, port} = await openBench();
+  const sockets = Array.from({length: WAITING_CONNECTIONS}, () => {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(REQUEST);
+    return socket;
+  });
+  await Promise.all(sockets.map(socket => once(socket, 'connect')));
+  pauseLoop(PAUSE_MS);
+  drain.start();
+  const closed = drain.close();
+  const answers = await Promise.all(sockets.map(socket => readAnswer(socket)));
+  const isAnswered = (answer: string) =>
+    answer === REFUSAL || /^HTTP\/1.1 200 [^]*whole$/.test(answer);
+  t.is(answers.filter(isAnswered).length, WAITING_CONNECTIONS);
+  await closed;
+});
+
 test('an idle connection does not hold the end of its listener up', async t => {
   const {drain, port} = await openBench();
   const socket = connect(port, '127.0.0.1');
