--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -291,8 +291,8 @@
     );
   }
 
-  private isBehind(): boolean {
-    const isBehind = this.loop.isBehind();
+  private isBehind(waitedMs: number): boolean {
+    const isBehind = this.loop.isBehind(waitedMs);
     if (isBehind) this.tally.observeUnread('DD3034');
     return isBehind;
   }
@@ -393,7 +393,7 @@
       registry,
       platform: this.platform,
       isReady: () => this.isReady(),
-      isBehind: () => this.isBehind(),
+      isBehind: waitedMs => this.isBehind(waitedMs),
       operators: {store, view, takeover, status, report},
       peers: this.getPeerServiceParts(),
       observe: (exchange, result) => {
