--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -421,9 +421,10 @@
    * server has acknowledged a grant without it, or every grant has lapsed.
    */
   async tryRevoke(service: ServiceName): Promise<boolean> {
-    if (!this.mayCheck(service)) return true;
     const sender = this.getBook(service);
     if (sender.hasLapsed()) return true;
+    // Grants by earlier rules end; servers that check nothing are sent none.
+    if (!this.mayCheck(service)) return false;
     const entry = this.entries.get(service);
     if (entry === undefined || !this.isBound(service)) return false;
     return sender.tryConfirm(entry.pool);
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -237,6 +237,16 @@
   t.false(await bench.registry.tryRevoke(SERVICE));
 });
 
+test('keys that were granted are not given on because the rules no longer call for grants', async t => {
+  const bench = createKnownBench();
+  bench.system.shift(LEASE_DURATION_MS);
+  bench.sendHeartbeat();
+  bench.rules = {...RULES, fencing: 'none'};
+  t.false(await bench.registry.tryRevoke(SERVICE));
+  bench.system.shift(LEASE_MS);
+  t.true(await bench.registry.tryRevoke(SERVICE));
+});
+
 test('a daemon that is stopped before it has heard its server goes on beside a server that stays', t => {
   const bench = new Bench();
   t.false(bench.registry.hasStayingServer());
