Keep the wait after a takeover while no rules of the service are known

An owner without known rules of a service took the wait after a takeover for over, and released the slice although the lost owner's server may still run what it was sent. The next owner keeps no wait for a slice that was moved by plan.

Cause: absence of rules was proof that servers check their grants.

Evidence, before the change: owner, "a slice that was taken over is not released while no rules say how long the lost owner runs ...": released [{start: 0, token: 2}], expected []

Why it works: without rules the wait of a slice that was taken over has no end.

--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -183,11 +183,16 @@
   }
 
   /** Tells whether a slice that was taken over may be served by a server that checks no tokens. */
-  private isWaitOver(service: ServiceName, slice: Slice): boolean {
-    const rules = this.registry.getRules(service);
-    if (rules === undefined || rules.fencing === 'checked') return true;
+  private isWaitOver(
+    service: ServiceName,
+    slice: Slice,
+    rules = this.registry.getRules(service),
+  ): boolean {
+    if (rules?.fencing === 'checked') return true;
     const nowMs = this.system.getNow().monotonicMs;
-    return this.getState(service).wait.isOver(slice, rules.maxRunMs, nowMs);
+    // While no rules are known, the lost owner's server may run what it was sent for any time.
+    const maxRunMs = rules?.maxRunMs ?? Infinity;
+    return this.getState(service).wait.isOver(slice, maxRunMs, nowMs);
   }
 
   /** Returns the entries of slices, to be handed over. */
@@ -234,6 +239,7 @@
 
   private checkAdmission(exchange: Exchange): Admitted | AttemptFailure {
     const {service} = exchange.target;
+    const rules = this.registry.getRules(service) ?? exchange.rules;
     if (this.isClosing) return refuse('DD3021', SHORT_RETRY_MS);
     if (!this.keeper.isHeld()) return refuse('DD3016', SHORT_RETRY_MS);
     const server = this.registry.getServer(service);
@@ -252,7 +258,7 @@
     if (
       answer.kind === 'moving' ||
       !this.registry.isGranted(service, answer.slice) ||
-      !this.isWaitOver(service, answer.slice)
+      !this.isWaitOver(service, answer.slice, rules)
     ) {
       return refuse('DD3005', SHORT_RETRY_MS);
     }
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -469,3 +469,15 @@
   t.is(format(await bench.send({idempotencyKey: 'b'})), '201 whole paid');
   await bench.stop();
 });
+
+test('a slice that was taken over is not released while no rules say how long the lost owner runs what it was sent', async t => {
+  const bench = new Bench(answerAlways);
+  await bench.start();
+  const release = (token: number) =>
+    bench.owner.releaseSlices(SERVICE, bench.member, [{start: 0, token}]);
+  bench.applySlice({recordsSince: 2, token: 2});
+  t.deepEqual(release(2), []);
+  bench.applySlice({recordsSince: 0, token: 3});
+  t.is(release(3).length, 1, 'one that was moved by plan is');
+  await bench.stop();
+});
