Hold no server back after a run whose session had ended

The session of menu-4 was ended by a takeover while menu-4 started again; its server, alive and by then without a grant, was held back until 2 s after the start for a run whose grants had ended.

Cause: the process had read the earlier session before it was ended, and kept what it had read then.

Evidence, before the change: session_keeper, "a run whose session is in force when the next one replaces it may have granted keys, one that was ended meanwhile may not": Value is not `false`: true

Why it works: a session is ended only after the lease of its member has ended, by witnesses, by the member's own stop after the end of its grants, or by an operator who vouches; and the new session is conditional on the version that says so.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -279,7 +279,12 @@
       this.isFirstMember &&
       this.writer.inForce === undefined &&
       this.writer.underWay === undefined;
-    if (!isDue || found === undefined || found.session.isEnded) return;
+    if (!isDue || found === undefined) return;
+    if (found.session.isEnded) {
+      // It was ended while this process started: its grants had ended before.
+      this.hasFollowedRun = false;
+      return;
+    }
     const {member, peerAddress, follows = []} = found.session;
     const {ip, port} = this.identity.peerAddress;
     const isOwnHost = peerAddress.ip === ip && peerAddress.port === port;
--- a/packages/daemon/test/session_keeper.test.ts
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -56,17 +56,19 @@
     LOG,
   );
 
-  async writeEarlierSession(): Promise<void> {
+  async writeEarlierSession(isEnded = false, version = 0): Promise<number> {
     const value = encodeSession({
       ...LOCATION,
       member: EARLIER,
       witnesses: [EARLIER],
       servers: [],
-      isEnded: false,
+      isEnded,
       isLeaving: false,
     });
     const key = getSessionKey(EARLIER.host);
-    await this.store.updateObject(key, 0, value)();
+    const written = await this.store.updateObject(key, version, value)();
+    if (E.isLeft(written)) throw new Error(written.left.text);
+    return written.right;
   }
 
   /** Writes an assignment; returns its version. */
@@ -100,3 +102,26 @@
   t.true(bench.keeper.isJoined());
   await bench.keeper.stop(true);
 });
+
+test('a run whose session is in force when the next one replaces it may have granted keys, one that was ended meanwhile may not', async t => {
+  const live = new Bench();
+  await live.writeEarlierSession();
+  await live.watcher.tryFollow(0);
+  void live.keeper.run();
+  await runPromises();
+  t.true(live.keeper.hasFollowed());
+  await live.keeper.stop(true);
+
+  const ended = new Bench();
+  const version = await ended.writeEarlierSession();
+  await ended.watcher.tryFollow(0);
+  await ended.writeEarlierSession(true, version);
+  void ended.keeper.run();
+  for (let count = 0; count < 10; count++) {
+    await runPromises();
+    ended.system.shift(100);
+  }
+  t.not(ended.keeper.getSession(), undefined);
+  t.false(ended.keeper.hasFollowed(), 'its grants ended before its session');
+  await ended.keeper.stop(true);
+});
