Play late heartbeats, servers that are cut off, replaced hosts, stops in turn and a service without keys in the soak

What the users' servers and platform can do and the soak did not play: heartbeats that arrive up to 5 s late, whatever runs then; answers of heartbeats that are lost; a server that is cut off from its daemon; another host that starts at the address of one that is off for good; a stop of all daemons in turn; the end of the daemon that decides; a store that does not answer a third of the hosts; hosts of a service without keys, which witness, relay and decide.

--- a/packages/scenario/src/soak/fault_plan.ts
+++ b/packages/scenario/src/soak/fault_plan.ts
@@ -27,6 +27,13 @@
   'all-daemons-killed',
   'all-lose-power',
   'hot-keys-change',
+  'heartbeats-delayed',
+  'heartbeat-answers-lost',
+  'server-cut-off',
+  'host-replaced',
+  'daemons-rolled',
+  'coordinator-killed',
+  'store-refuses-hosts',
 ] as const;
 
 /** Kind of a fault. */
--- a/packages/scenario/src/soak/soak_traffic.ts
+++ b/packages/scenario/src/soak/soak_traffic.ts
@@ -38,6 +38,14 @@
   kinds: [READ],
 };
 
+/** Rules of a service beside it that has no keys. */
+export const PLAIN_RULES: ServiceRules = {
+  ...SOAK_RULES,
+  division: 'none',
+  fencing: 'none',
+  slicesPerServer: 0,
+};
+
 /** Sends requests. */
 export class SoakTraffic {
   completed = 0;
--- a/packages/scenario/src/soak/soak_world.ts
+++ b/packages/scenario/src/soak/soak_world.ts
@@ -3,6 +3,7 @@
  * program's own; network, store, clocks and backend servers are stand-ins that misbehave.
  */
 import {ACCEPTED_MANIFEST_KEY} from '@dottereldrift/daemon/store_view.js';
+import {chooseCoordinator} from '@dottereldrift/ownership/coordinator_choice.js';
 import {RANGE_KEYS} from '@dottereldrift/ownership/key_range.js';
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
 
@@ -12,13 +13,15 @@
 import type {SharedStore} from '../virtual_store.js';
 import {drawFaults, type FaultKind, type PlannedFault} from './fault_plan.js';
 import {OwnershipJudge} from './ownership_judge.js';
-import {SOAK_SERVICE, SoakHost} from './soak_host.js';
-import {SOAK_RULES, SoakTraffic} from './soak_traffic.js';
+import {PLAIN_SERVICE, SOAK_SERVICE, SoakHost} from './soak_host.js';
+import {PLAIN_RULES, SOAK_RULES, SoakTraffic} from './soak_traffic.js';
 
 /** How a run differs from others. */
 export interface SoakOptions {
   readonly seed: number;
   readonly hosts?: number;
+  /** Hosts beside them whose service has no keys. */
+  readonly plainHosts?: number;
   readonly durationMs?: number;
   /** Kinds of faults that the seed draws from; all when absent. */
   readonly kinds?: readonly FaultKind[] | undefined;
@@ -51,6 +54,9 @@
 const HEARTBEAT_DELAY_MS = 900;
 const SLOW_DELAY_MS = 900;
 const STEP_MS = 2_000;
+const REFUSED_SHARE = 0.35;
+const MAX_ROLL_GAP_MS = 1_500;
+const REPLACED_GAP_MS = 12_000;
 /** Longest time that a key may be without a server once no fault strikes any more: that of a host that is lost. */
 export const DARK_LIMIT_MS = 5_000;
 const QUIET_MS = 15_000;
@@ -89,6 +95,7 @@
   private readonly traffic: SoakTraffic;
   private readonly trace: string[] = [];
   private isLate = false;
+  private lastReplacedMs = -Infinity;
   private readonly durationMs: number;
 
   constructor(private readonly options: SoakOptions) {
@@ -112,11 +119,11 @@
       },
       onDaemon: (daemon: VirtualDaemon) => options.onDaemon?.(daemon),
     };
-    const count = options.hosts ?? DEFAULT_HOSTS;
-    this.hosts = Array.from(
-      {length: count},
-      (_, index) => new SoakHost(index, DATA_CENTRES, surroundings),
-    );
+    const {hosts: count = DEFAULT_HOSTS, plainHosts = 0} = options;
+    this.hosts = Array.from({length: count + plainHosts}, (_, index) => {
+      const service = index < count ? SOAK_SERVICE : PLAIN_SERVICE;
+      return new SoakHost(index, DATA_CENTRES, surroundings, service);
+    });
     const name = 'callers';
     const process = new VirtualProcess(name, this.clock);
     const callers = {name, process};
@@ -187,7 +194,8 @@
   }
 
   private async writeManifest(): Promise<void> {
-    const manifest = {services: {[SOAK_SERVICE]: SOAK_RULES}};
+    const services = {[SOAK_SERVICE]: SOAK_RULES, [PLAIN_SERVICE]: PLAIN_RULES};
+    const manifest = {services};
     const accepted = {generation: 1, sourceVersion: 1, manifest};
     const value = Buffer.from(JSON.stringify(accepted));
     await this.store.memory.updateObject(ACCEPTED_MANIFEST_KEY, 0, value)();
@@ -218,11 +226,7 @@
         this.killDaemon(host);
         return nothing;
       case 'daemon-stopped':
-        void host.stopDaemon(GRACE_MS).then(() => {
-          this.startLater(() => {
-            host.restartDaemon();
-          });
-        });
+        this.stopDaemon(host);
         return nothing;
       case 'daemon-frozen':
         return host.freezeDaemon(false);
@@ -256,6 +260,32 @@
       case 'host-loses-power':
         this.cutPower(host);
         return nothing;
+      case 'host-replaced':
+        this.endHost(host);
+        return nothing;
+      default:
+        return this.startHeartbeatFault(kind, host);
+    }
+  }
+
+  private startHeartbeatFault(kind: FaultKind, host: SoakHost): () => void {
+    const server = host.server.place.name;
+    switch (kind) {
+      case 'heartbeats-delayed':
+        host.heartbeatDelayMs = LATE_SPREAD_MS;
+        return () => {
+          host.heartbeatDelayMs = 0;
+        };
+      case 'heartbeat-answers-lost':
+        this.network.cutPath(host.name, server);
+        return () => {
+          this.network.reset();
+        };
+      case 'server-cut-off':
+        this.cutBothWays(host.name, server);
+        return () => {
+          this.network.reset();
+        };
       default:
         return this.startSharedFault(kind, host);
     }
@@ -278,11 +308,24 @@
         };
       }
       case 'store-cut':
-        this.network.cutPath(host.name, STORE_PLACE);
-        this.network.cutPath(STORE_PLACE, host.name);
+        this.cutBothWays(host.name, STORE_PLACE);
         return () => {
           this.network.reset();
         };
+      case 'store-refuses-hosts':
+        for (const {name} of this.hosts) {
+          if (this.clock.getRandom() < REFUSED_SHARE)
+            this.cutBothWays(name, STORE_PLACE);
+        }
+        return () => {
+          this.network.reset();
+        };
+      case 'daemons-rolled':
+        this.stopInTurn();
+        return nothing;
+      case 'coordinator-killed':
+        this.killDaemon(this.findCoordinator() ?? host);
+        return nothing;
       case 'store-out':
         state.isOut = true;
         for (const end of outageListeners) end();
@@ -324,6 +367,40 @@
     };
   }
 
+  private cutBothWays(one: string, other: string): void {
+    this.network.cutPath(one, other);
+    this.network.cutPath(other, one);
+  }
+
+  private stopDaemon(host: SoakHost): void {
+    void host.stopDaemon(GRACE_MS).then(() => {
+      this.startLater(() => {
+        host.restartDaemon();
+      });
+    });
+  }
+
+  /** Stops all daemons in turn. */
+  private stopInTurn(): void {
+    const gapMs = MAX_ROLL_GAP_MS * this.clock.getRandom();
+    this.hosts.forEach((host, index) => {
+      this.clock.startTimer(Math.min(index * gapMs, this.getRestMs()), () => {
+        this.stopDaemon(host);
+      });
+    });
+  }
+
+  /** Returns the host that decides placement, as one of the daemons sees it. */
+  private findCoordinator(): SoakHost | undefined {
+    const [some] = this.hosts.filter(host =>
+      host.daemon.place.process.isRunning(),
+    );
+    const live = some?.daemon.getView().getLiveSessions() ?? [];
+    const members = live.map(({member}) => member);
+    const chosen = chooseCoordinator(SOAK_SERVICE, members);
+    return this.hosts.find(({name}) => name === chosen?.host);
+  }
+
   private killDaemon(host: SoakHost): void {
     host.daemon.place.process.kill();
     this.startLater(() => {
@@ -339,6 +416,18 @@
     });
   }
 
+  /**
+   * Ends a host for good; another one starts at its address. One that follows so soon that it could take the
+   * majority of a witness set along comes back, for nobody can prove the loss of both.
+   */
+  private endHost(host: SoakHost): void {
+    const nowMs = this.clock.getElapsedMs();
+    this.cutPower(host);
+    if (nowMs - this.lastReplacedMs < REPLACED_GAP_MS) return;
+    this.lastReplacedMs = nowMs;
+    host.renewHost();
+  }
+
   private startLater(start: () => void): void {
     const delayMs = RESTART_MS + RESTART_SPREAD_MS * this.clock.getRandom();
     this.clock.startTimer(delayMs, start);
@@ -363,6 +452,7 @@
     this.store.state.isLosingAnswers = false;
     this.isLate = false;
     for (const host of this.hosts) {
+      host.heartbeatDelayMs = 0;
       host.server.place.process.continue();
     }
   }
--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -70,6 +70,16 @@
       };
     },
   },
+  {
+    rule: 'a server that cannot be told, or whose word does not arrive, keeps its keys until its grants end',
+    kinds: ['server-cut-off', 'heartbeat-answers-lost', 'hot-keys-change'],
+    onDaemon: daemon => {
+      daemon.getParts().registry.releaseSlices = (_service, refs, stop) => {
+        stop(refs);
+        return refs;
+      };
+    },
+  },
   {
     rule: 'a grant ends with the lease',
     kinds: ['host-cut-off', 'daemon-frozen'],
@@ -99,3 +109,20 @@
     t.is(await countViolations(seeds, {kinds}), 0);
   });
 }
+
+test('no two servers hold a key while late heartbeats, replaced hosts and stops in turn meet a service without keys', async t => {
+  const kinds: readonly FaultKind[] = [
+    'heartbeats-delayed',
+    'host-replaced',
+    'daemons-rolled',
+    'server-killed',
+    'hot-keys-change',
+  ];
+  const {violations, takenCount} = await runSoak({
+    seed: 1,
+    plainHosts: 3,
+    kinds,
+  });
+  t.deepEqual(violations, []);
+  t.true(takenCount > 0);
+});
