Take a request for new by the later of two times at which its owner took over

What callers would see: a request that is not idempotent runs twice.

Cause: an owner that took a key over takes a request for new when its caller sent it after the takeover was first seen, both by the time of day. Where the owner's clock was behind at that moment and was set right since, a request of before the takeover, which may have run at the lost owner, has a later time than the takeover. That the stamp is not from the future is checked by the present clock only.

Evidence: a clock that was 2002 ms behind, a request that was sent 1 ms before the takeover and came right after it: taken for new ("Property failed after 1 tests, Counterexample: [1,0,2002,0]").

Fix: the time of the takeover is also counted back from now by the monotonic clock, and the later of the two counts. A suspension meanwhile makes it later still, which refuses more. Remains: a clock that is wrong by more than the margin of 2 s both times; that bound on clocks is what the margin is for.

--- a/packages/routing/src/request_novelty.ts
+++ b/packages/routing/src/request_novelty.ts
@@ -35,7 +35,14 @@
     input.firstSentWallMs ?? readUuidTime(input.idempotencyKey);
   if (sentWallMs === undefined) return false;
   const isFromFuture = sentWallMs > now.wallMs + CLOCK_SKEW_MARGIN_MS;
-  return !isFromFuture && sentWallMs > seenAt.wallMs + CLOCK_SKEW_MARGIN_MS;
+  const seenWallMs = computeSeenWallMs(seenAt, now);
+  return !isFromFuture && sentWallMs > seenWallMs + CLOCK_SKEW_MARGIN_MS;
+}
+
+/** Returns the later of two answers: the wall clock may have been behind then, and set since. */
+function computeSeenWallMs(seenAt: Instant, now: Instant): number {
+  const passedMs = now.monotonicMs - seenAt.monotonicMs;
+  return Math.max(seenAt.wallMs, now.wallMs - passedMs);
 }
 
 const UUID_V7_PATTERN =
--- a/packages/routing/test/request_novelty.test.ts
+++ b/packages/routing/test/request_novelty.test.ts
@@ -86,6 +86,31 @@
   t.pass();
 });
 
+test('a request that ran before the takeover is not taken for new by a clock that was behind then and was set since', t => {
+  const property = fc.property(
+    fc.integer({min: 1, max: RETENTION_MS}),
+    fc.integer({min: 0, max: RETENTION_MS}),
+    fc.integer({min: 0, max: RETENTION_MS}),
+    fc.integer({min: 0, max: RETENTION_MS}),
+    (sentBeforeMs, repeatedAfterMs, behindMs, suspendedMs) => {
+      fc.pre(sentBeforeMs + repeatedAfterMs < RETENTION_MS);
+      return !isCertainlyNew(
+        createInput({
+          seenAt: {monotonicMs: 0, wallMs: TAKEOVER_WALL_MS - behindMs},
+          now: {
+            monotonicMs:
+              repeatedAfterMs - Math.min(suspendedMs, repeatedAfterMs),
+            wallMs: TAKEOVER_WALL_MS + repeatedAfterMs,
+          },
+          firstSentWallMs: TAKEOVER_WALL_MS - sentBeforeMs,
+        }),
+      );
+    },
+  );
+  fc.assert(property, {seed: SEED, numRuns: 2_000});
+  t.pass();
+});
+
 test('only a UUID of version 7 tells its time', t => {
   t.is(readUuidTime(createUuid(TAKEOVER_WALL_MS)), TAKEOVER_WALL_MS);
   t.is(readUuidTime('018bcfe5-6800-4abc-8abc-0123456789ab'), undefined);
