Go on serving a slice of which a part is to move until its cut is known

What callers saw: DD3005 for keys that were not to move.

Cause: a release names a slice by start and token, which a cut keeps. An owner that does not know the cut lets the whole slice go when its first part is to move: safe, as slices only shrink under their token, but the other parts are served by nobody until the view is renewed.

What changed: the coordinator says where the slice ends; an owner that knows it with another end goes on with it, and lets the part go when it knows the cut, which is usual within the 10 ms between two looks. Owners asked without an end decide as before.

Test (mover.test.ts): a part of a slice is asked for before and while its cut becomes known. Ruled out: to send the assignment with the request, which an owner would have to check against its session as the view does.

--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -16,6 +16,7 @@
   getAssignmentKey,
 } from '@dottereldrift/ownership/assignment_record.js';
 import {chooseCoordinator} from '@dottereldrift/ownership/coordinator_choice.js';
+import {getSliceEnd} from '@dottereldrift/ownership/slices.js';
 import type {
   Slice,
   SliceRef,
@@ -297,6 +298,7 @@
     const slices = refs.map(ref => ({
       start: ref.start,
       token: BigInt(ref.token),
+      end: BigInt(ref.end ?? 0),
     }));
     try {
       const client = this.peers.getClient(address);
@@ -333,10 +335,11 @@
 /** Groups the slices on the move by owner and next owner. */
 function groupMoves(slices: readonly Slice[]): readonly Move[] {
   const moves = new Map<string, Move>();
-  for (const {start, token, owner, nextOwner} of slices) {
+  for (const [index, {start, token, owner, nextOwner}] of slices.entries()) {
     if (owner === undefined || nextOwner === undefined) continue;
     const name = `${formatMember(owner)} ${formatMember(nextOwner)}`;
-    const refs = [...(moves.get(name)?.refs ?? []), {start, token}];
+    const end = getSliceEnd(slices, index);
+    const refs = [...(moves.get(name)?.refs ?? []), {start, token, end}];
     moves.set(name, {owner, nextOwner, refs});
   }
   return [...moves.values()];
--- a/packages/daemon/src/mover.ts
+++ b/packages/daemon/src/mover.ts
@@ -37,10 +37,12 @@
     refs: readonly SliceRef[],
   ): Promise<readonly SliceRef[]> {
     const isAnswering = this.registry.isAnswering(service);
-    const release = () =>
-      isAnswering
-        ? this.releaseByHeartbeat(service, owner, refs)
-        : this.owner.releaseSlices(service, owner, refs);
+    const release = () => {
+      const uncut = this.owner.filterUncut(service, refs);
+      return isAnswering
+        ? this.releaseByHeartbeat(service, owner, uncut)
+        : this.owner.releaseSlices(service, owner, uncut);
+    };
     const endMs = this.system.getNow().monotonicMs + MAX_WAIT_MS;
     let idle = release();
     while (idle.length === 0 && this.system.getNow().monotonicMs < endMs) {
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -182,6 +182,14 @@
     });
   }
 
+  /** Leaves out slices that were cut, or joined with others, in a view that is not known here yet. */
+  filterUncut(
+    service: ServiceName,
+    refs: readonly SliceRef[],
+  ): readonly SliceRef[] {
+    return this.getState(service).gate.filterUncut(refs);
+  }
+
   /** Tells whether a slice that was taken over may be served by a server that checks no tokens. */
   private isWaitOver(service: ServiceName, slice: Slice): boolean {
     const rules = this.registry.getRules(service);
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -72,6 +72,7 @@
       const refs = request.slices.map(ref => ({
         start: ref.start,
         token: Number(ref.token),
+        ...(ref.end === 0n ? {} : {end: Number(ref.end)}),
       }));
       const owner = parseMember(request.owner);
       const nextOwner = parseMember(request.nextOwner);
--- a/packages/ownership/src/slice_gate.ts
+++ b/packages/ownership/src/slice_gate.ts
@@ -5,7 +5,12 @@
 import {isSameMember} from '@dottereldrift/core/member.js';
 import type {Member} from '@dottereldrift/core/types.js';
 
-import {findSlice, getOwnedSlices} from './slices.js';
+import {
+  findSlice,
+  findSliceIndex,
+  getOwnedSlices,
+  getSliceEnd,
+} from './slices.js';
 import type {Assignment, Slice, SliceRef} from './types.js';
 
 /** Answer of the gate for one position. */
@@ -98,6 +103,19 @@
     );
   }
 
+  /**
+   * Leaves out slices that are known here with another end: they were cut, and letting the whole go for a part
+   * would leave the rest without service until the cut is known here.
+   */
+  filterUncut(asked: readonly SliceRef[]): readonly SliceRef[] {
+    const slices = this.assignment?.slices ?? [];
+    return asked.filter(({start, end}) => {
+      if (end === undefined) return true;
+      const index = findSliceIndex(slices, start);
+      return getSliceEnd(slices, index) === end;
+    });
+  }
+
   private withdrawWaiting(refs: readonly SliceRef[]): void {
     const starts = new Set(refs.map(ref => ref.start));
     for (const [handBack, position] of [...this.waiting]) {
--- a/packages/ownership/src/types.ts
+++ b/packages/ownership/src/types.ts
@@ -44,4 +44,6 @@
   readonly token: Token;
   /** For a slice that was released: what the server gave for the next owner. */
   readonly handover?: string;
+  /** For a slice that is asked for: the first position behind it. */
+  readonly end?: number;
 }
