Offer a request to each host once, also while a host is left out for failures

What callers saw: requests for services that any server may take end at their deadline, and everything else on that daemon waits meanwhile.

Cause: of three hosts two have refused and the third is left out for failures. The choice then fell back to all hosts, those that were tried among them; the entry found a host that was not tried yet and went on at once. A refusal on the own host needs no network, so the loop kept the event loop for as long as the third host was left out, up to the deadline of the request.

What changed: the choice falls back to hosts that were not tried first, left out or not; the entry goes on only after an offer to a host that is new.

Tests: host_choice.test.ts failed, entry.test.ts did not end before (stopped after 60 s).

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -149,8 +149,8 @@
           return result;
         }
         failure = addHost(route, result.failure, failure);
-        if (route.kind === 'send') tried.add(route.candidate.member.host);
-        if (this.mayOfferElsewhere(exchange, failure, tried)) continue;
+        const isNew = addTried(route, tried);
+        if (isNew && this.mayOfferElsewhere(exchange, failure, tried)) continue;
         this.refreshRoute(exchange, failure);
         refused = createRefused(route, failure) ?? refused;
         if (failure.outcome === 'unknown') attemptsMade += 1;
@@ -367,6 +367,14 @@
   return {...failure, retryAfterMs: Math.max(failure.retryAfterMs, leastMs)};
 }
 
+/** Notes the host that was asked; false when there was none, or it was asked before. */
+function addTried(route: RouteDecision, tried: Set<HostName>): boolean {
+  if (route.kind !== 'send') return false;
+  const {size} = tried;
+  tried.add(route.candidate.member.host);
+  return tried.size > size;
+}
+
 function countOffer({isLocal}: Candidate, trail: RequestTrail): void {
   trail.offers += 1;
   if (!isLocal) trail.hops += 1;
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -44,13 +44,16 @@
   return {kind: 'failed', failure};
 }
 
-function createSession(host: string): Session {
+function createSession(
+  host: string,
+  servers: Session['servers'] = [],
+): Session {
   return {
     member: {host, incarnation: '1'},
     peerAddress: {ip: '127.0.0.1', port: 1},
     isEnded: false,
     isLeaving: false,
-    servers: [],
+    servers,
   } as unknown as Session;
 }
 
@@ -59,6 +62,16 @@
   readonly sentTo: string[] = [];
   generation = 1;
   ownerHost = 'b';
+  liveHosts = ['b', 'c'];
+  servers: Session['servers'] = [];
+  readonly rules: Exchange['rules'] = {
+    division: 'byKey',
+    fencing: 'checked',
+    maxRunMs: 1_000,
+    slicesPerServer: 1,
+    maxQueued: 10,
+    kinds: [KIND],
+  };
   /** What the daemons answer, given the number of the attempt. */
   answer: (attempt: number) => AttemptResult = () => ANSWERED;
   readonly entry = new Entry(
@@ -66,7 +79,8 @@
     {
       getAssignment: () => ({assignment: this.createAssignment(), version: 1}),
       getSession: host => ({session: createSession(host), version: 1}),
-      getLiveSessions: () => [createSession('b'), createSession('c')],
+      getLiveSessions: () =>
+        this.liveHosts.map(host => createSession(host, this.servers)),
       isDraining: () => false,
       refreshAssignment: () => Promise.resolve(),
     },
@@ -124,14 +138,7 @@
     return {
       method: 'GET',
       target: {service: SERVICE, key: 'floor-1', path: '/'},
-      rules: {
-        division: 'byKey',
-        fencing: 'checked',
-        maxRunMs: 1_000,
-        slicesPerServer: 1,
-        maxQueued: 10,
-        kinds: [KIND],
-      },
+      rules: this.rules,
       kind: KIND,
       headers: {},
       body: {kind: 'none'},
@@ -300,3 +307,29 @@
   bench.ownerHost = 'a';
   t.is(await sendAll(), requests, 'an offer on this host costs no hop');
 });
+
+test('a request that any host may run is offered to each host once, also while one is left out for failures', async t => {
+  const bench = new Bench();
+  bench.liveHosts = ['a', 'b', 'c'];
+  bench.servers = [
+    {service: SERVICE, slots: 6},
+  ] as unknown as Session['servers'];
+  const rules = {...bench.rules, division: 'none'} as Exchange['rules'];
+  const change = {
+    routed: ROUTED,
+    rules,
+    target: {service: SERVICE, key: undefined, path: '/'},
+  };
+  bench.answer = () =>
+    bench.sentTo.at(-1) === 'c'
+      ? createFailed('not-run', 'DD3008')
+      : createRefused('DD3011', 20);
+  for (let number = 0; number < 20; number++) {
+    bench.sentTo.length = 0;
+    const result = await bench.settle(bench.handle(change));
+    t.is(result.kind, 'failed');
+    const offers = bench.sentTo.length;
+    t.true(offers <= 3, `${number}: ${offers} offers`);
+    if (offers > 100) return;
+  }
+});
--- a/packages/routing/src/host_choice.ts
+++ b/packages/routing/src/host_choice.ts
@@ -53,7 +53,8 @@
     const others =
       avoided.size === 0 ? hosts : hosts.filter(({host}) => !avoided.has(host));
     const allowed = this.filterEjected(others, hosts.length, nowMs);
-    return this.drawBetter(allowed.length > 0 ? allowed : hosts, nowMs);
+    const [first] = [allowed, others, hosts].filter(({length}) => length > 0);
+    return this.drawBetter(first ?? [], nowMs);
   }
 
   /** Takes note of an attempt; the returned function ends it, once. */
--- a/packages/routing/test/host_choice.test.ts
+++ b/packages/routing/test/host_choice.test.ts
@@ -163,6 +163,14 @@
   t.is(choice.choose(createHosts('a'), new Set(['a'])), 'a');
 });
 
+test('a retry goes to a host that is left out for failures rather than to one that was tried', t => {
+  const choice = new HostChoice(createSystem());
+  const hosts = createHosts('a', 'b', 'c');
+  failOften(choice, 'c');
+  for (let draw = 0; draw < DRAWS; draw++)
+    t.is(choice.choose(hosts, new Set(['a', 'b'])), 'c');
+});
+
 test('daemons with the same news spread over the hosts', t => {
   const hosts = createHosts('a', 'b', 'c', 'd');
   const counts: Record<string, number> = {};
