Judge a shutdown by requests whose callers still waited when it began

Cause: the check counted every request that ran on a host that shut down at any time of the run, also those that were over before the signal. A shutdown cannot cut such a request off.

A request counts if its caller was not yet answered when the signal was sent. The older test of the check now takes results that end after the signal.

--- a/packages/bench/src/judge.ts
+++ b/packages/bench/src/judge.ts
@@ -181,7 +181,8 @@
 /**
  * Requests that a shutdown cut off: run on the host that shut down, or taken by its daemon, and not
  * answered although nothing else stood in the way. Not counted is a run at which its server was still at
- * work when the deadline passed, of which the caller was told then: no daemon could have answered it.
+ * work when the deadline passed, of which the caller was told then: no daemon could have answered it; nor a
+ * request whose caller was answered before the shutdown began, which it cannot have cut off.
  */
 export function findShutdownViolations(
   results: readonly LoadResult[],
@@ -189,10 +190,10 @@
   departures: readonly Departure[],
   absences: readonly Absence[],
 ): readonly Violation[] {
-  const hosts = new Set(
+  const shutdowns = new Map(
     departures
       .filter(departure => departure.stoppedAtMs !== undefined)
-      .map(departure => departure.host),
+      .map(departure => [departure.host, departure.atMs]),
   );
   const absent = new Set(absences.map(absence => absence.host));
   const runs = new Map(records.map(record => [record.requestId, record]));
@@ -203,14 +204,24 @@
       const {requestId, entryHost = '', code} = result;
       const run = runs.get(requestId);
       const ranHost = run?.host ?? '';
-      const isRunCut = hosts.has(ranHost) && !isOverrun(result, run);
-      const isEntryCut = hosts.has(entryHost) && code === 'connection';
+      const hasBegun = (host: string) =>
+        isAnsweredAfter(result, shutdowns.get(host));
+      const isRunCut = hasBegun(ranHost) && !isOverrun(result, run);
+      const isEntryCut = hasBegun(entryHost) && code === 'connection';
       if (!isRunCut && !isEntryCut) return [];
       const detail = `${requestId}: by ${entryHost}, run on ${ranHost}, told unknown (${code})`;
       return [{promise: 'graceful-shutdown' as const, detail}];
     });
 }
 
+/** Tells whether a caller had no answer yet at a time, if there is one. */
+function isAnsweredAfter(
+  {dueAtMs, latencyMs}: LoadResult,
+  atMs = Infinity,
+): boolean {
+  return dueAtMs + latencyMs >= atMs;
+}
+
 /** Tells whether a server worked on beyond the deadline of a request, and its caller was told no sooner. */
 function isOverrun(
   {dueAtMs, latencyMs, deadlineMs}: LoadResult,
--- a/packages/bench/test/judge.test.ts
+++ b/packages/bench/test/judge.test.ts
@@ -87,14 +87,35 @@
 test('a request that a shutdown cut off is seen', t => {
   const departures = [{host: 'a', atMs: 900, stoppedAtMs: 2_000}];
   const judge = (result: Partial<LoadResult>, records: readonly RunRecord[]) =>
-    findShutdownViolations([{...RESULT, ...result}], records, departures, [])
-      .length;
+    findShutdownViolations(
+      [{...RESULT, latencyMs: 1_500, ...result}],
+      records,
+      departures,
+      [],
+    ).length;
   t.is(judge({outcome: 'unknown', entryHost: 'b'}, [RECORD]), 1);
   t.is(judge({outcome: 'unknown', code: 'connection'}, []), 1);
   t.is(judge({outcome: 'unknown', code: 'DD3007'}, []), 0);
   t.is(judge({}, [RECORD]), 0);
 });
 
+test('a request that was answered before a shutdown began is not cut off by it', t => {
+  const departures = [{host: 'a', atMs: 3_000, stoppedAtMs: 4_000}];
+  const judge = (latencyMs: number, code: string) => {
+    const result = {...RESULT, latencyMs, outcome: 'unknown', code};
+    return findShutdownViolations(
+      [result as LoadResult],
+      [RECORD],
+      departures,
+      [],
+    ).length;
+  };
+  t.is(judge(2_999, 'DD3007'), 0);
+  t.is(judge(2_999, 'connection'), 0);
+  t.is(judge(3_000, 'DD3007'), 1);
+  t.is(judge(3_000, 'connection'), 1);
+});
+
 test('a run that outlasts its deadline is not cut off by a shutdown', t => {
   const departures = [{host: 'a', atMs: 900, stoppedAtMs: 4_000}];
   const judge = (latencyMs: number, serviceMs: number) => {
