Keep how busy the process of a scenario's test was

The process of a scenario's test sends the load, samples every daemon and carries every link between daemons and to the store. Where it is held up, so is everything that passes between the daemons. The evidence that is kept of a failed run now says how much processor time it took, how busy its event loop was and how late.

No check changes.

--- a/packages/scenario/src/process_world.ts
+++ b/packages/scenario/src/process_world.ts
@@ -5,6 +5,7 @@
 import {createHash} from 'node:crypto';
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 
 import type {Deployment} from '@dottereldrift/bench/deployments.js';
 import {Fleet, type FleetHost} from '@dottereldrift/bench/fleet.js';
@@ -37,6 +38,8 @@
 const CONNECTIONS = 120;
 const SETTLE_LIMIT_MS = 10_000;
 const EVIDENCE_FILE = 'evidence.json';
+const US_PER_MS = 1_000;
+const NS_PER_MS = 1e6;
 
 const system = createNodeSystem();
 
@@ -54,9 +57,11 @@
   });
   try {
     await fleet.start();
+    const harness = observeHarness();
     const evidence = await new ProcessWorld(script, fleet).run(seed);
     const unixMs = Date.now() - getNowMs() + evidence.startedAtMs;
-    const text = JSON.stringify({...evidence, startedAtUnixMs: unixMs});
+    const kept = {...evidence, startedAtUnixMs: unixMs, harness: harness()};
+    const text = JSON.stringify(kept);
     writeFileSync(join(directory, EVIDENCE_FILE), text);
     return evidence;
   } finally {
@@ -64,6 +69,33 @@
   }
 }
 
+/** How busy the process of the test itself was, which sends the load and carries the links. */
+interface HarnessLoad {
+  readonly processorMs: number;
+  readonly loopUtilization: number;
+  readonly loopDelayP99Ms: number;
+  readonly loopDelayMaxMs: number;
+}
+
+/** Observes how busy this process is until the returned function is called. */
+function observeHarness(): () => HarnessLoad {
+  const delay = monitorEventLoopDelay();
+  delay.enable();
+  const processor = process.cpuUsage();
+  const loop = performance.eventLoopUtilization();
+  return () => {
+    delay.disable();
+    const {user, system: kernel} = process.cpuUsage(processor);
+    const {utilization} = performance.eventLoopUtilization(loop);
+    return {
+      processorMs: (user + kernel) / US_PER_MS,
+      loopUtilization: utilization,
+      loopDelayP99Ms: delay.percentile(99) / NS_PER_MS,
+      loopDelayMaxMs: delay.max / NS_PER_MS,
+    };
+  };
+}
+
 class ProcessWorld {
   private readonly departures: Departure[] = [];
   private readonly absences = new AbsenceLog(getNowMs);
