--- a/packages/daemon/test/listener_drain.test.ts
+++ b/packages/daemon/test/listener_drain.test.ts
@@ -20,7 +20,7 @@
 const REFUSAL = 'HTTP/1.1 503 X\r\ncontent-length: 7\r\n\r\nnot run';
 const REQUEST = 'GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n';
 
-async function openBench(refusal = REFUSAL, system = createNodeSystem()) {
+async function openBench(refusal = REFUSAL) {
   const limits = createLimits();
   const app = createListener(limits);
   const handled: string[] = [];
@@ -35,7 +35,7 @@
     reply.raw.write('wh');
     setTimeout(() => reply.raw.end('ole'), ANSWER_DELAY_MS);
   });
-  const drain = new ListenerDrain(system, app, refusal);
+  const drain = new ListenerDrain(createNodeSystem(), app, refusal);
   await app.listen({host: '127.0.0.1', port: 0});
   const {port} = app.server.address() as AddressInfo;
   return {app, drain, handled, port};
@@ -76,11 +76,7 @@
 });
 
 test('requests on connections that wait to be accepted as the listener closes are answered', async t => {
-  const system = createNodeSystem();
-  const now = system.getNow();
-  // A busy host takes longer than a listener waits to take the connections.
-  system.getNow = () => now;
-  const {drain, port} = await openBench(REFUSAL, system);
+  const {drain, port} = await openBench();
   const sockets = Array.from({length: WAITING_CONNECTIONS}, () => {
     const socket = connect(port, '127.0.0.1');
     socket.write(REQUEST);
