Replace a witness that has fenced a member by another

One of its three witnesses had fenced it, another belonged to a host that was gone and whose loss nobody could prove; the third alone is no majority, neither to renew the lease nor to end it.

Cause: the choice of witnesses rests on sessions that have not ended. What this member knows better, that a witness has fenced it and never renews it again, did not count, so the set stayed as it was.

Evidence, before the change: session_keeper, "a witness that has fenced a member, which it never renews again, is replaced by another": Value is not `false`: true (the witness is still in the set)

Why it works: the set is changed by the same conditional update as any other, which waits for a majority of both sets or the end of all grants; a takeover that was voted on by the old set fails at its version.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -17,6 +17,7 @@
   createLeaseState,
   getLeaseEnd,
   getWitnesses,
+  hasFenced,
   isFencedForGood,
   isLeaseHeld,
   type LeaseState,
@@ -309,7 +310,9 @@
       return present.witnesses;
     }
     const self = {...this.identity, member: this.member};
-    const live = this.view.getLiveSessions();
+    const live = this.view
+      .getLiveSessions()
+      .filter(({member}) => !hasFenced(this.lease, member));
     return chooseWitnesses(self, live, present?.witnesses ?? []);
   }
 
--- a/packages/daemon/test/session_keeper.test.ts
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -30,6 +30,7 @@
   peerAddress: {ip: '127.0.0.1', port: 1},
   callerPort: 2,
 };
+const STEP_MS = 50;
 const IDENTITY = {...LOCATION, host: EARLIER.host};
 
 function runPromises(): Promise<void> {
@@ -71,6 +72,32 @@
     return written.right;
   }
 
+  /** Writes the sessions of hosts that may be witnesses. */
+  async writeOthers(hosts: readonly string[]): Promise<void> {
+    for (const [index, host] of hosts.entries()) {
+      const member = {host, incarnation: '1'};
+      const value = encodeSession({
+        ...LOCATION,
+        peerAddress: {ip: '127.0.0.1', port: 10 + index},
+        member,
+        witnesses: [member],
+        servers: [],
+        isEnded: false,
+        isLeaving: false,
+      });
+      await this.store.updateObject(getSessionKey(host), 0, value)();
+    }
+  }
+
+  /** Lets time pass in steps in which promises settle. */
+  async waitFor(ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      await runPromises();
+      this.system.shift(STEP_MS);
+    }
+    await runPromises();
+  }
+
   /** Writes an assignment; returns its version. */
   async writeAssignment(generation: number, version: number): Promise<number> {
     const slices = createSlices(1).map(slice => ({
@@ -125,3 +152,25 @@
   t.false(ended.keeper.hasFollowed(), 'its grants ended before its session');
   await ended.keeper.stop(true);
 });
+
+test('a witness that has fenced a member, which it never renews again, is replaced by another', async t => {
+  const bench = new Bench();
+  await bench.writeOthers(['h2', 'h3', 'h4', 'h5']);
+  await bench.watcher.tryFollow(0);
+  void bench.keeper.run();
+  await bench.waitFor(3_000);
+  const [fencing] = bench.keeper.getSession()?.witnesses ?? [];
+  if (fencing === undefined) return t.fail('there is no witness');
+  for (let sequence = 1; sequence < 10; sequence++)
+    bench.keeper.receiveAnswer(
+      bench.keeper.getMember(),
+      fencing,
+      sequence,
+      true,
+    );
+  await bench.waitFor(3_000);
+  const witnesses = bench.keeper.getSession()?.witnesses ?? [];
+  t.is(witnesses.length, 3);
+  t.false(witnesses.some(({host}) => host === fencing.host));
+  await bench.keeper.stop(true);
+});
--- a/packages/membership/src/lease_holder.ts
+++ b/packages/membership/src/lease_holder.ts
@@ -93,6 +93,11 @@
   return now.monotonicMs < end.monotonicMs && now.wallMs < end.wallMs;
 }
 
+/** Tells whether a witness has fenced this member, so that it never renews its lease again. */
+export function hasFenced(state: LeaseState, witness: Member): boolean {
+  return state.fencedBy.has(formatMember(witness));
+}
+
 /** Tells whether so many witnesses have fenced the member that it can never hold its lease again. */
 export function isFencedForGood(state: LeaseState): boolean {
   return state.witnessSets.some(set => {
