--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -19,6 +19,7 @@
   findDoubtfulAnswer,
   getLeaseEnd,
   getWitnesses,
+  hasFenced,
   isFencedForGood,
   isLeaseHeld,
   isTimeKnown,
@@ -363,7 +364,9 @@
       return present.witnesses;
     }
     const self = {...this.identity, member: this.member};
-    const live = this.view.getLiveSessions();
+    const live = this.view
+      .getLiveSessions()
+      .filter(({member}) => !hasFenced(this.lease, member));
     return chooseWitnesses(self, live, present?.witnesses ?? []);
   }
 
