Take the lag of the event loop from the monitor that is there

Cause: a second monitor, the runtime's own, woke the process every 20 ms for one gauge.

The gauge `loop.delay_p99_ms` now tells the lag of the looks of the loop monitor, every 50 ms, without the interval itself (the runtime's histogram counts it). The monitor runs on every daemon, not only on a platform, so that the gauge is there as before.

Safe: decisions rest on the lag as before; only the gauge has another source.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -270,7 +270,12 @@
       this.owner,
       () => this.readControl(),
     );
-    this.gauges = new GaugeReporter(system, this.metrics, this.status);
+    this.gauges = new GaugeReporter(
+      system,
+      this.metrics,
+      this.status,
+      this.loop,
+    );
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -307,7 +312,7 @@
     this.keeper.addRenewalListener(() => {
       this.registry.sendGrants();
     });
-    if (this.platform !== undefined) this.loop.start();
+    this.loop.start();
     this.witnesses.start();
     this.registry.start();
     this.gauges.start();
--- a/packages/daemon/src/gauge_reporter.ts
+++ b/packages/daemon/src/gauge_reporter.ts
@@ -1,47 +1,35 @@
 /**
  * Sends gauges at a steady pace: the lease, the work at hand, and how far the event loop lags.
  */
-import {type IntervalHistogram, monitorEventLoopDelay} from 'node:perf_hooks';
-
 import type {Metrics} from '@dottereldrift/core/metrics.js';
 import type {System} from '@dottereldrift/core/system.js';
 
+import type {LoopMonitor} from './loop_monitor.js';
 import type {StatusReader} from './status.js';
 
 const REPORT_INTERVAL_MS = 10_000;
-const LOOP_RESOLUTION_MS = 20;
-const NS_PER_MS = 1e6;
 const US_PER_SECOND = 1e6;
-const TAIL_PERCENTILE = 99;
 
 /** Reports gauges until it is stopped. */
 export class GaugeReporter {
-  private readonly loopDelay: IntervalHistogram;
   private cancel: () => void = () => {};
 
   constructor(
     private readonly system: System,
     private readonly metrics: Metrics,
     private readonly status: StatusReader,
-  ) {
-    this.loopDelay = monitorEventLoopDelay({resolution: LOOP_RESOLUTION_MS});
-  }
+    private readonly loop: Pick<LoopMonitor, 'takeTailLagMs'>,
+  ) {}
 
   start(): void {
-    this.loopDelay.enable();
-    this.waitForReport();
+    this.cancel = this.system.startTimer(REPORT_INTERVAL_MS, () => {
+      this.sendReport();
+      this.start();
+    });
   }
 
   stop(): void {
     this.cancel();
-    this.loopDelay.disable();
-  }
-
-  private waitForReport(): void {
-    this.cancel = this.system.startTimer(REPORT_INTERVAL_MS, () => {
-      this.sendReport();
-      this.waitForReport();
-    });
   }
 
   private sendReport(): void {
@@ -61,11 +49,9 @@
       metrics.recordGauge('slots.total', service.slots, tags);
       metrics.recordGauge('slots.reserved', service.reserved, tags);
     }
-    const delayNs = this.loopDelay.percentile(TAIL_PERCENTILE);
-    metrics.recordGauge('loop.delay_p99_ms', delayNs / NS_PER_MS);
+    metrics.recordGauge('loop.delay_p99_ms', this.loop.takeTailLagMs());
     metrics.recordGauge('memory.rss_bytes', process.memoryUsage().rss);
     const {user, system} = process.cpuUsage();
     metrics.recordGauge('processor.seconds', (user + system) / US_PER_SECOND);
-    this.loopDelay.reset();
   }
 }
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -3,18 +3,25 @@
  * of a host that was frozen: what is read then has waited in the socket, its caller may have left, and
  * handling all of it late would make all of it late.
  */
+import {createHistogram, type RecordableHistogram} from 'node:perf_hooks';
+
 import type {System} from '@dottereldrift/core/system.js';
 
 /** Time between two looks, in milliseconds; each costs a timer. */
 const INTERVAL_MS = 50;
 /** Lag from which requests are refused: half of the shortest goal that the users name. */
 const MAX_LAG_MS = 100;
+const TAIL_PERCENTILE = 99;
+/** Unit in which lags are kept, so that those below a millisecond count too. */
+const US_PER_MS = 1_000;
 
 /** Watches the event loop. */
 export class LoopMonitor {
   private lastTickMs: number;
   private lastTickWallMs: number;
   private lagMs = 0;
+  /** Lags of the looks since they were last taken, in microseconds. */
+  private readonly lags: RecordableHistogram = createHistogram();
   private cancel: () => void = () => {};
 
   constructor(private readonly system: System) {
@@ -29,6 +36,8 @@
     this.lastTickWallMs = now.wallMs;
     this.cancel = this.system.startTimer(INTERVAL_MS, () => {
       this.lagMs = this.computeLagMs();
+      // The histogram takes whole numbers from 1 on.
+      this.lags.record(Math.max(1, Math.round(this.lagMs * US_PER_MS)));
       this.start();
     });
   }
@@ -47,6 +56,14 @@
     return Math.max(this.lagMs, this.computeLagMs());
   }
 
+  /** Returns the lag that one look in a hundred exceeded since the last call, in milliseconds. */
+  takeTailLagMs(): number {
+    const {count} = this.lags;
+    const tailUs = count === 0 ? 0 : this.lags.percentile(TAIL_PERCENTILE);
+    this.lags.reset();
+    return tailUs / US_PER_MS;
+  }
+
   /** The monotonic clock stands still while the host is suspended, the clock of the day does not. */
   private computeLagMs(): number {
     const now = this.system.getNow();
--- a/packages/daemon/test/loop_monitor.test.ts
+++ b/packages/daemon/test/loop_monitor.test.ts
@@ -30,3 +30,17 @@
   t.true(monitor.isBehind());
   monitor.stop();
 });
+
+test('the lag that is reported is the worst of the looks since the last report', t => {
+  const system = new ManualSystem();
+  const monitor = new LoopMonitor(system);
+  monitor.start();
+  t.is(monitor.takeTailLagMs(), 0, 'nothing has been looked at');
+  system.shift(TICK_MS);
+  system.shift(TICK_MS * 4);
+  const lagMs = monitor.takeTailLagMs();
+  t.true(Math.abs(lagMs - TICK_MS * 3) < 1, `${lagMs} ms`);
+  system.shift(TICK_MS);
+  t.true(monitor.takeTailLagMs() < 1, 'it begins anew');
+  monitor.stop();
+});
