Compare a session with the one in force before encoding both

Cause: four times a second a daemon encodes its wanted session and the one in force to see whether they differ. They hardly ever do, and equal objects are told without encoding. Objects that differ are still compared by what would be written.

Safe: objects that are equal in depth encode to the same bytes.

--- a/packages/membership/src/session_writer.ts
+++ b/packages/membership/src/session_writer.ts
@@ -7,6 +7,8 @@
  * above the one in force, or the success of another conditional update at it, settles it. Until then
  * the lease needs a majority of every witness set that may be in force.
  */
+import {isDeepStrictEqual} from 'node:util';
+
 import {isSameMember} from '@dottereldrift/core/member.js';
 import type {Member} from '@dottereldrift/core/types.js';
 
@@ -208,6 +210,8 @@
   return sets.some(other => isSameSet(other, set)) ? sets : [...sets, set];
 }
 
+/** Compares what would be written. Encoding takes most of a check, so equal objects are told without. */
 function isSameSession(a: Session, b: Session): boolean {
+  if (isDeepStrictEqual(a, b)) return true;
   return Buffer.from(encodeSession(a)).equals(Buffer.from(encodeSession(b)));
 }
--- a/packages/membership/test/session_writer.test.ts
+++ b/packages/membership/test/session_writer.test.ts
@@ -75,6 +75,21 @@
   t.deepEqual(getActiveSets(refused.state), [SET]);
 });
 
+test('a session is written when any part of it has changed, and only then', t => {
+  const checkWanted = (changes: Partial<Session>) =>
+    applyWriterEvent(createInForce(), {
+      kind: 'check',
+      wanted: createSession(changes),
+      found: undefined,
+    });
+  t.is(checkWanted({}).effect.kind, 'none');
+  const same = createSet('h1', 'h2', 'h3');
+  t.is(checkWanted({witnesses: same}).effect.kind, 'none');
+  t.is(checkWanted({isLeaving: true}).effect.kind, 'write');
+  t.is(checkWanted({callerPort: 3}).effect.kind, 'write');
+  t.is(checkWanted({witnesses: NEXT_SET}).effect.kind, 'write');
+});
+
 test('reading the expected version settles nothing; a higher one does', t => {
   const lost = answer(check(createInForce()), 'unknown');
   const old = applySeen(lost.state, 5, createSession());
