--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -22,6 +22,7 @@
 import type {GrantBook, GrantSource} from './grant_book.js';
 import {HeartbeatWait} from './heartbeat_wait.js';
 import {GrantSender} from './grant_sender.js';
+import {ServerLeaves} from './server_leaves.js';
 import {createServerPool} from './server_pool.js';
 import {
   type LocalServer,
@@ -50,8 +51,6 @@
  * late by as much loses no keys.
  */
 const RENEWAL_MARGIN_MS = 600;
-/** Leaves that are kept of servers which have not been heard; one server is to be expected. */
-const MAX_UNHEARD_LEAVES = 16;
 
 interface Entry extends LocalServer {
   readonly lastSeenMs: number;
@@ -73,10 +72,7 @@
   private startedAt: Instant;
   private hasDroppedEarlier = false;
   private readonly lastHeartbeats = new Map<ServiceName, ServerHeartbeat>();
-  /** Lives of servers that have said that they end. */
-  private readonly leftLives = new Set<string>();
-  /** When servers that this process had not heard said that they end, by the wall clock and their identifiers. */
-  private readonly unheardLeaves = new Map<string, number>();
+  private readonly leaves: ServerLeaves;
   /** Rows that the last answer to each service's server had no room for. */
   private readonly leftOutRows = new Map<ServiceName, number>();
   private readonly answerWait: HeartbeatWait;
@@ -97,6 +93,7 @@
   ) {
     this.startedAt = system.getNow();
     this.answerWait = new HeartbeatWait(system);
+    this.leaves = new ServerLeaves(system, () => keeper.getEarlierServers());
   }
 
   /** Takes an announcement: a new server, or a sign of life of a known one. */
@@ -291,7 +288,7 @@
     if (last !== undefined && isOvertaken(heartbeat, last, isSilent))
       return 'stale';
     this.lastHeartbeats.set(info.service, heartbeat);
-    const isLeaving = info.isLeaving || this.hasLeft(heartbeat);
+    const isLeaving = info.isLeaving || this.leaves.hasLeft(heartbeat);
     this.receiveAnnouncement({...info, isLeaving}, instanceId);
     return this.answerReport(info.service, report, waitedMs);
   }
@@ -339,35 +336,13 @@
       life: last?.info.life ?? '',
     });
     if (last === undefined) {
-      this.keepUnheardLeave(instanceId);
+      this.leaves.keepUnheard(instanceId);
       return;
     }
-    this.leftLives.add(last.info.life ?? instanceId);
+    this.leaves.keepHeard(last);
     this.removeServer(last.info.service);
   }
 
-  private keepUnheardLeave(instanceId: string): void {
-    this.unheardLeaves.delete(instanceId);
-    this.unheardLeaves.set(instanceId, this.system.getNow().wallMs);
-    const [oldest] = this.unheardLeaves.keys();
-    if (oldest !== undefined && this.unheardLeaves.size > MAX_UNHEARD_LEAVES)
-      this.unheardLeaves.delete(oldest);
-  }
-
-  /** Tells whether a life has said that it ends, to this process or to a run of this daemon before it. */
-  private hasLeft({info, instanceId, bornAtMs}: ServerHeartbeat): boolean {
-    const life = info.life ?? instanceId;
-    const leftAtMs = this.unheardLeaves.get(instanceId);
-    this.unheardLeaves.delete(instanceId);
-    // A life that began after the leave has the identifier of the one that left.
-    if (leftAtMs !== undefined && bornAtMs <= leftAtMs)
-      this.leftLives.add(life);
-    const isLeftBefore = this.keeper
-      .getEarlierServers()
-      .some(earlier => earlier.isLeaving && earlier.life === life);
-    return isLeftBefore || this.leftLives.has(life);
-  }
-
   /** Tells whether a server of this host is to go on when this daemon starts again. */
   hasStayingServer(): boolean {
     const heard = [...this.entries.values()].map(({info}) => info);
