Take a server for leaving when the session that says so is known after its heartbeat

A daemon that starts again may hear its server before it has read the session of the run before it. A leave that only that session names was then found with the next heartbeat, and counted from that time, so the server was given work for as long as one that begins to leave.

Cause: the leave was looked up when a heartbeat came, and not when the earlier session became known.

Evidence, before the change: server_heartbeats, "a server that is heard before it is known that it left the run of the daemon before gets no work": Value is not `true`.

Why it works: where lives are compared, a life that the earlier session names as leaving is leaving, since a time that is not known. Servers that name no life are left as they were: another one may have their address.

--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -226,17 +226,25 @@
     for (const service of this.unjudged) {
       const entry = this.entries.get(service);
       if (entry !== undefined)
-        this.entries.set(service, {...entry, info: this.judgeLife(entry.info)});
+        this.entries.set(service, this.judgeEntry(entry));
     }
     const isChanged = this.unjudged.size > 0;
     this.unjudged.clear();
     if (isChanged) this.publishServers();
   }
 
+  private judgeEntry(entry: Entry): Entry {
+    const info = this.judgeLife(entry.info);
+    const nowMs = this.system.getNow().monotonicMs;
+    const leavingSinceMs =
+      entry.leavingSinceMs ?? this.findLeavingSince(info, nowMs);
+    return {...entry, info, leavingSinceMs};
+  }
+
   private judgeLife(info: ServerInfo): ServerInfo {
     const last = this.findLastInfo(info.service);
     if (last !== undefined && isSameLife(last, info))
-      return keepVoidToken(info, last);
+      return keepLeave(keepVoidToken(info, last), last);
     // The run before this process may have granted keys to another life, of which nothing is heard here.
     if (this.keeper.hasFollowed()) this.heldBack.add(info.service);
     if (info.life === undefined) return info;
@@ -604,6 +612,12 @@
   }
 }
 
+/** A life that has left does not stay again; a server that names no life may be another one. */
+function keepLeave(info: ServerInfo, last: ServerInfo): ServerInfo {
+  const hasLeft = info.life !== undefined && last.isLeaving;
+  return hasLeft ? {...info, isLeaving: true} : info;
+}
+
 /** Servers that do not name their lives are known by their addresses. */
 function isSameLife(a: ServerInfo, b: ServerInfo): boolean {
   return a.life === undefined ? isSameServer(a, b) : a.life === b.life;
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -216,6 +216,20 @@
   t.false(bench.registry.isAccepting(SERVICE));
 });
 
+test('a server that is heard before it is known that it left the run of the daemon before gets no work', t => {
+  const bench = new Bench();
+  bench.isJoined = false;
+  bench.registry.start();
+  bench.sendHeartbeat();
+  bench.earlier = [{...createEarlier(`i-1/${BORN_MS}`, 3), isLeaving: true}];
+  bench.isJoined = true;
+  bench.system.shift(100);
+  t.true(bench.published[0]?.isLeaving);
+  t.false(bench.registry.isAccepting(SERVICE));
+  bench.sendHeartbeat({sequence: 2});
+  t.false(bench.registry.isAccepting(SERVICE));
+});
+
 test('a server that started again under its identifier after a leave that was not heard of is not leaving', t => {
   const bench = new Bench();
   bench.registry.receiveLeave('i-1');
