Keep a witness that has fenced a member where too few others are left

With three others that may be witnesses and one that has fenced the member, the set shrank to a single witness: if that one is lost, keys are dark for two seconds, and with the daemon together nobody can prove its end.

Evidence, before the change: session_keeper, "a witness that has fenced a member stays where too few others are left": "- 1 + 3".

Also: a session of this process that was ended, as by an operator, is not taken for that of the run before it, whose grants would then count as ended.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -11,6 +11,7 @@
 import {
   HEARTBEAT_INTERVAL_MS,
   LEASE_DURATION_MS,
+  SMALL_WITNESS_SET_SIZE,
 } from '@dottereldrift/membership/constants.js';
 import {
   applyAnswer,
@@ -335,15 +336,16 @@
       this.writer.inForce === undefined &&
       this.writer.underWay === undefined;
     if (!isDue || found === undefined) return;
-    if (found.session.isEnded) {
+    const {member, peerAddress, follows = [], isEnded} = found.session;
+    if (isSameMember(member, this.member)) return;
+    if (isEnded) {
       // It was ended while this process started: its grants had ended before.
       this.hasFollowedRun = false;
       return;
     }
-    const {member, peerAddress, follows = []} = found.session;
     const {ip, port} = this.identity.peerAddress;
     const isOwnHost = peerAddress.ip === ip && peerAddress.port === port;
-    if (!isOwnHost || isSameMember(member, this.member)) return;
+    if (!isOwnHost) return;
     // A longer chain is ended the slow way, which waits until its grants have lapsed.
     if (follows.length >= MAX_FOLLOWED) return;
     this.follows = [member.incarnation, ...follows];
@@ -364,10 +366,12 @@
       return present.witnesses;
     }
     const self = {...this.identity, member: this.member};
-    const live = this.view
-      .getLiveSessions()
-      .filter(({member}) => !hasFenced(this.lease, member));
-    return chooseWitnesses(self, live, present?.witnesses ?? []);
+    const live = this.view.getLiveSessions();
+    const renewing = live.filter(({member}) => !hasFenced(this.lease, member));
+    // With fewer others the set would rest on a single host.
+    const hasOthers = renewing.length > SMALL_WITNESS_SET_SIZE;
+    const candidates = hasOthers ? renewing : live;
+    return chooseWitnesses(self, candidates, present?.witnesses ?? []);
   }
 
   private async applyEvent(event: WriterEvent): Promise<void> {
--- a/packages/daemon/test/session_keeper.test.ts
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -286,3 +286,17 @@
   t.false(witnesses.some(({host}) => host === fencing.host));
   await bench.keeper.stop(true);
 });
+
+test('a witness that has fenced a member stays where too few others are left', async t => {
+  const bench = new Bench();
+  await bench.writeOthers(['h2', 'h3', 'h4']);
+  await bench.watcher.tryFollow(0);
+  void bench.keeper.run();
+  await bench.waitFor(3_000);
+  const [fencing] = bench.keeper.getSession()?.witnesses ?? [];
+  if (fencing === undefined) return t.fail('there is no witness');
+  bench.keeper.receiveAnswer(bench.keeper.getMember(), fencing, 1, true);
+  await bench.waitFor(3_000);
+  t.is(bench.keeper.getSession()?.witnesses.length, 3);
+  await bench.keeper.stop(true);
+});
