Compare the last heartbeat also after another answer was dropped for its clocks

Where an old answer was dropped and no heartbeats were sent at once, as one round had gone out a moment before, a heartbeat under way was not compared any more. A suspension that a step back evens out could pass unseen then, and its late answer renewed a lease that had been ended.

Evidence, before the change: session_keeper, "a heartbeat under way renews nothing after clocks that differed twice within a moment": Value is not `false`.

Why it works: the last heartbeat goes on being compared unless it is itself one since which the time is not known.

--- a/packages/daemon/src/session_keeper.ts
+++ b/packages/daemon/src/session_keeper.ts
@@ -257,7 +257,9 @@
     this.lease = dropDoubtfulAnswers(this.lease, now);
     for (const [sequence, at] of this.sentAt)
       if (!isTimeKnown(at, now)) this.sentAt.delete(sequence);
-    this.lastSentAt = undefined;
+    const {lastSentAt} = this;
+    if (lastSentAt !== undefined && !isTimeKnown(lastSentAt, now))
+      this.lastSentAt = undefined;
     this.lastEnd = {monotonicMs: -Infinity, wallMs: -Infinity};
     if (now.monotonicMs - this.lastDoubtMs < DOUBT_INTERVAL_MS) return;
     this.lastDoubtMs = now.monotonicMs;
--- a/packages/daemon/test/session_keeper.test.ts
+++ b/packages/daemon/test/session_keeper.test.ts
@@ -300,3 +300,26 @@
   t.is(bench.keeper.getSession()?.witnesses.length, 3);
   await bench.keeper.stop(true);
 });
+
+test('a heartbeat under way renews nothing after clocks that differed twice within a moment', async t => {
+  const bench = new Bench();
+  await bench.startWithLease();
+  bench.system.shift(490);
+  bench.answerLast();
+  bench.moveClocks(0, LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  bench.answerLast();
+  t.true(bench.keeper.isHeld());
+  bench.moveClocks(0, 15);
+  const sentBefore = bench.sent.length;
+  bench.system.shift(10);
+  t.is(bench.sent.length, sentBefore + 1, 'the next heartbeat is under way');
+  bench.moveClocks(0, 10);
+  t.false(bench.keeper.isHeld());
+  bench.moveClocks(0, LEFT_OVER_MS);
+  t.false(bench.keeper.isHeld());
+  bench.moveClocks(0, -LEFT_OVER_MS);
+  bench.answer(bench.sent[sentBefore] ?? 0);
+  t.false(bench.keeper.isHeld());
+  await bench.keeper.stop(true);
+});
