--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -237,7 +237,7 @@
     const {service} = exchange.target;
     const {host} = candidate.member;
     const endOffer = this.startOffer(candidate, exchange);
-    if (endOffer === undefined) return failOffer(exchange);
+    if (endOffer === undefined) return failOffer(exchange, host);
     countOffer(candidate, trail);
     const endAttempt = this.getChoice(service).startAttempt(host);
     let result: AttemptResult | undefined;
@@ -425,9 +425,12 @@
   return cost === 'free' || (cost === 'budget' && budget.tryRetry());
 }
 
-/** Refuses a request as its host would. */
-function failOffer({target: {service}}: Exchange): AttemptResult {
-  return fail(refuse('DD3011', 0, {service, host: 'its owner'}));
+/** Refuses a request as its host, which has refused nearly all of late, would. */
+function failOffer(
+  {target: {service}}: Exchange,
+  host: HostName,
+): AttemptResult {
+  return fail(refuse('DD3011', 0, {service, host}));
 }
 
 function failRoute(code: MessageCode, exchange: Exchange): AttemptResult {
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -26,13 +26,13 @@
 /** Most time between two looks of a follower at a store that its relay cannot reach. */
 const PROBE_INTERVAL_MS = 10_000;
 /** Time between two rounds in which other daemons are asked whether they hear from the store. */
-const LOOK_INTERVAL_MS = 1_000;
+const ASK_INTERVAL_MS = 1_000;
 /** Daemons that are asked in a round. */
-const LOOKS_PER_ROUND = 4;
+const ASKED_PER_ROUND = 4;
 /** Time in which a daemon that is asked has to answer. */
-const LOOK_ANSWER_MS = 300;
+const ASK_TIMEOUT_MS = 300;
 /** Time for which the store, or a daemon that hears from it, is followed in place of the relay. */
-const DETOUR_MS = 10_000;
+const ALTERNATE_MS = 10_000;
 
 /** Where the view comes from. */
 export type ViewSource = 'none' | 'store' | 'relay' | 'peer';
@@ -52,9 +52,9 @@
   private source: ViewSource = 'none';
   private isStopped = false;
   private nextProbeMs = -Infinity;
-  private lastLookMs = -Infinity;
+  private lastAskMs = -Infinity;
   /** Tells whether the view came last from a daemon that was followed in place of the relay. */
-  private isDetoured = false;
+  private isAlternate = false;
 
   constructor(
     private readonly settings: FollowerSettings,
@@ -116,12 +116,12 @@
     if (isFallback && this.source === 'relay') await this.waitForJitter();
     this.setSource('store');
     if (await this.watcher.tryFollow(WATCH_WAIT_MS)) {
-      this.isDetoured = false;
+      this.isAlternate = false;
       return true;
     }
-    if (!this.isDetoured && this.isFresh()) return false;
+    if (!this.isAlternate && this.isFresh()) return false;
     this.setAvoided(this.settings.host);
-    return this.tryDetour(this.settings.host);
+    return this.tryAlternate(this.settings.host);
   }
 
   private async watchRelay(host: HostName, address: Address): Promise<boolean> {
@@ -132,13 +132,13 @@
       if (this.isStopped || !this.isStillRelay(host)) return false;
       isSilent = storeSilenceMs > MAX_STORE_SILENCE_MS;
       if (!isSilent) {
-        this.isDetoured = false;
+        this.isAlternate = false;
         return true;
       }
-      return !this.isDetoured && !this.isFresh() && !this.isLookDue(startMs);
+      return !this.isAlternate && !this.isFresh() && !this.isAskDue(startMs);
     });
     if (this.isStopped || !this.isStillRelay(host)) return true;
-    if (!isSilent || (!this.isDetoured && this.isFresh()))
+    if (!isSilent || (!this.isAlternate && this.isFresh()))
       this.setAvoided(host);
     else await this.followAnother(host);
     return true;
@@ -146,51 +146,51 @@
 
   /** Follows the store or a daemon that hears from it, where the relay does not. */
   private async followAnother(host: HostName): Promise<void> {
-    // Another daemon is asked first, for a store that is cut off takes a second to show it. After a detour
-    // the view is fresh and there is time.
-    if (!this.isDetoured && (await this.tryDetour(host))) return;
+    // Another daemon is asked first, for a store that is cut off takes a second to show it. After one was
+    // followed the view is fresh and there is time.
+    if (!this.isAlternate && (await this.tryAlternate(host))) return;
     if (this.isProbeDue() && (await this.tryProbe())) {
       await this.followStore();
-    } else if (this.isDetoured) {
-      await this.tryDetour(host);
+    } else if (this.isAlternate) {
+      await this.tryAlternate(host);
     }
   }
 
   /** Follows the store for a time, so that daemons that cannot reach it may follow this one. */
   private async followStore(): Promise<void> {
-    const endMs = this.system.getNow().monotonicMs + DETOUR_MS;
-    this.isDetoured = false;
+    const endMs = this.system.getNow().monotonicMs + ALTERNATE_MS;
+    this.isAlternate = false;
     this.setSource('store');
     while (!this.isStopped && this.system.getNow().monotonicMs < endMs)
       if (!(await this.watcher.tryFollow(WATCH_WAIT_MS))) return;
   }
 
   /** Follows some other daemon while it hears from the store, for a time; false when none was found. */
-  private async tryDetour(relay: HostName): Promise<boolean> {
+  private async tryAlternate(relay: HostName): Promise<boolean> {
     const others = this.view
       .getLiveSessions()
       .filter(({member: {host}}) => host !== relay && !this.isSelf(host));
-    this.isDetoured = false;
-    for (let look = 0; look < LOOKS_PER_ROUND && others.length > 0; look++) {
+    this.isAlternate = false;
+    for (let asked = 0; asked < ASKED_PER_ROUND && others.length > 0; asked++) {
       const index = Math.floor(this.system.getRandom() * others.length);
       const [other] = others.splice(index, 1);
       if (other === undefined || this.isStopped) break;
-      await this.watchOther(other.peerAddress);
-      if (this.isDetoured) return true;
+      await this.watchAlternate(other.peerAddress);
+      if (this.isAlternate) return true;
     }
-    this.lastLookMs = this.system.getNow().monotonicMs;
+    this.lastAskMs = this.system.getNow().monotonicMs;
     return false;
   }
 
-  private async watchOther(address: Address): Promise<void> {
-    const endMs = this.system.getNow().monotonicMs + DETOUR_MS;
+  private async watchAlternate(address: Address): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + ALTERNATE_MS;
     const mayGoOn: FollowRule = ({storeSilenceMs}) => {
       if (storeSilenceMs > MAX_STORE_SILENCE_MS) return false;
-      this.isDetoured = true;
+      this.isAlternate = true;
       this.setSource('peer');
       return !this.isStopped && this.system.getNow().monotonicMs < endMs;
     };
-    await this.client.watchRelay(address, mayGoOn, LOOK_ANSWER_MS);
+    await this.client.watchRelay(address, mayGoOn, ASK_TIMEOUT_MS);
   }
 
   /** Tells whether the store was heard of lately. */
@@ -199,10 +199,10 @@
   }
 
   /** A relay that was just chosen is given time to hear from the store. */
-  private isLookDue(watchedSinceMs: number): boolean {
+  private isAskDue(watchedSinceMs: number): boolean {
     const nowMs = this.system.getNow().monotonicMs;
-    const isNew = nowMs - watchedSinceMs < LOOK_INTERVAL_MS;
-    return !isNew && nowMs - this.lastLookMs >= LOOK_INTERVAL_MS;
+    const isNew = nowMs - watchedSinceMs < ASK_INTERVAL_MS;
+    return !isNew && nowMs - this.lastAskMs >= ASK_INTERVAL_MS;
   }
 
   private isProbeDue(): boolean {
