Pause before another daemon is followed in place of one that ended at once

Where the relay is silent and the daemons that are followed in its place end their streams after the first message, as one that stops does, or one whose own silence is just below the limit, a daemon went from the relay to one of them and back without a pause, which holds its event loop up for all else.

Evidence, before the change: relay, "daemons whose streams end at once are not followed without pause in place of a silent relay", did not end: virtual time stands still while the loop goes round ("Timed out while running tests").

Why it works: what was followed for less than the second between two rounds is waited out to that second. A daemon that is followed for longer costs no wait.

--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -182,8 +182,10 @@
     return false;
   }
 
+  /** Follows a daemon if it hears from the store; one that ends at once is not left without a pause. */
   private async watchAlternate(address: Address): Promise<void> {
-    const endMs = this.system.getNow().monotonicMs + ALTERNATE_MS;
+    const startMs = this.system.getNow().monotonicMs;
+    const endMs = startMs + ALTERNATE_MS;
     const mayGoOn: FollowRule = ({storeSilenceMs}) => {
       if (storeSilenceMs > MAX_STORE_SILENCE_MS) return false;
       this.isAlternate = true;
@@ -191,6 +193,9 @@
       return !this.isStopped && this.system.getNow().monotonicMs < endMs;
     };
     await this.client.watchRelay(address, mayGoOn, ASK_TIMEOUT_MS);
+    const passedMs = this.system.getNow().monotonicMs - startMs;
+    if (this.isAlternate && passedMs < ASK_INTERVAL_MS)
+      await waitFor(this.system, ASK_INTERVAL_MS - passedMs);
   }
 
   /** Tells whether the store was heard of lately. */
--- a/packages/daemon/test/relay.test.ts
+++ b/packages/daemon/test/relay.test.ts
@@ -19,6 +19,8 @@
 const WIDE_NODES = 14;
 const DATA_CENTRES = 3;
 const SETTLE_MS = 8_000;
+/** Others that a daemon asks in a round, one round a second. */
+const STREAMS_PER_SECOND = 4;
 const IN_FORCE_LIMIT_MS = 6_000;
 
 async function createFleet(seed: number): Promise<RelayFleet> {
@@ -122,6 +124,25 @@
   });
 }
 
+test('daemons whose streams end at once are not followed without pause in place of a silent relay', async t => {
+  const fleet = await createWideFleet(1);
+  const [relay] = fleet.getRelays();
+  const [first = '', centre = ''] = [relay?.name, relay?.dataCentre];
+  const cut = fleet.nodes.filter(node => node.dataCentre === centre);
+  const others = fleet.nodes.filter(node => node.dataCentre !== centre);
+  for (const node of cut) node.isCutOff = true;
+  for (const node of others) node.isBrief = true;
+  await fleet.runFor(SETTLE_MS);
+  const countStreams = () =>
+    others.reduce((sum, {streams}) => sum + streams, 0);
+  const before = countStreams();
+  const seconds = 10;
+  await fleet.runFor(seconds * 1_000);
+  const each = (countStreams() - before) / cut.length / seconds;
+  t.true(each > 0 && each <= STREAMS_PER_SECOND, `${first}: ${each} a second`);
+  fleet.stop();
+});
+
 test('an outage of the store does not make every daemon call it without pause', async t => {
   const fleet = await createFleet(3);
   fleet.isStoreOut = true;
--- a/packages/daemon/test/relay_fleet.ts
+++ b/packages/daemon/test/relay_fleet.ts
@@ -38,13 +38,17 @@
   readonly counters = createCounters();
   isPaused = false;
   isCutOff = false;
+  /** Whether its streams end after their first message. */
+  isBrief = false;
+  /** Streams that others have opened to it. */
+  streams = 0;
 
   constructor(
     readonly name: string,
     readonly address: Address,
     fleet: RelayFleet,
     peers: readonly Address[],
-    dataCentre: string,
+    readonly dataCentre: string,
   ) {
     const {system} = fleet;
     this.view = new StoreView(system, LOG);
@@ -164,12 +168,14 @@
   const aborted = new Promise<undefined>(resolve => {
     signal.addEventListener('abort', () => resolve(undefined), {once: true});
   });
+  node.streams += 1;
   for await (const message of node.relay.serveFollower(revision, signal)) {
     if (node.isPaused) {
       await aborted;
       throw new Error('The stream was given up.');
     }
     yield message;
+    if (node.isBrief) return;
   }
 }
 
