Bound the leaves that are kept of lives which have ended

Seen: by a reader.

Why it works: a host has one server of a service at a time, so all but the last few lives have ended. The same step drops the oldest of both collections. Five tests of releases share one step of their bench; they ask for the same.

--- a/packages/daemon/src/server_leaves.ts
+++ b/packages/daemon/src/server_leaves.ts
@@ -9,6 +9,8 @@
 
 /** Leaves that are kept of servers which have not been heard; one server is to be expected. */
 const MAX_UNHEARD_LEAVES = 16;
+/** Lives whose leaves are kept, the last ones: those before them have ended. */
+const MAX_LEFT_LIVES = 16;
 
 /** Keeps the leaves of servers. */
 export class ServerLeaves {
@@ -25,16 +27,20 @@
 
   /** Keeps the leave of the life whose heartbeat was the last one of an identifier. */
   keepHeard({info, instanceId}: ServerHeartbeat): void {
-    this.leftLives.add(info.life ?? instanceId);
+    this.keepLeft(info.life ?? instanceId);
+  }
+
+  private keepLeft(life: string): void {
+    this.leftLives.delete(life);
+    this.leftLives.add(life);
+    dropOldest(this.leftLives, MAX_LEFT_LIVES);
   }
 
   /** Keeps the leave of a server that has not been heard here, for the life that is heard next. */
   keepUnheard(instanceId: string): void {
     this.unheard.delete(instanceId);
     this.unheard.set(instanceId, this.system.getNow().wallMs);
-    const [oldest] = this.unheard.keys();
-    if (oldest !== undefined && this.unheard.size > MAX_UNHEARD_LEAVES)
-      this.unheard.delete(oldest);
+    dropOldest(this.unheard, MAX_UNHEARD_LEAVES);
   }
 
   /** Tells whether a life has said that it ends, to this process or to a run of this daemon before it. */
@@ -43,11 +49,19 @@
     const leftAtMs = this.unheard.get(instanceId);
     this.unheard.delete(instanceId);
     // A life that began after the leave has the identifier of the one that left.
-    if (leftAtMs !== undefined && bornAtMs <= leftAtMs)
-      this.leftLives.add(life);
+    if (leftAtMs !== undefined && bornAtMs <= leftAtMs) this.keepLeft(life);
     const isLeftBefore = this.getEarlierServers().some(
       earlier => earlier.isLeaving && earlier.life === life,
     );
     return isLeftBefore || this.leftLives.has(life);
   }
 }
+
+/** Drops the element that was added first where there are more than are to be kept. */
+function dropOldest(
+  kept: Set<string> | Map<string, number>,
+  most: number,
+): void {
+  const [oldest] = kept.keys();
+  if (oldest !== undefined && kept.size > most) kept.delete(oldest);
+}
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -12,6 +12,7 @@
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import type {Assignment} from '@dottereldrift/ownership/types.js';
 
+import {ServerLeaves} from '../src/server_leaves.js';
 import {SERVER_SILENCE_MS, ServerRegistry} from '../src/server_registry.js';
 import type {ServerHeartbeat} from '../src/server_types.js';
 import {ManualSystem} from './fakes.js';
@@ -84,6 +85,13 @@
     return this.registry.receiveHeartbeat(this.createHeartbeat(change));
   }
 
+  /** Asks for all slices to be let go; admission to them ends when the server is told. */
+  releaseAll() {
+    return this.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
+      this.held = [];
+    });
+  }
+
   createHeartbeat(change: HeartbeatChange = {}): ServerHeartbeat {
     const {isLeaving = false, ...rest} = change;
     const instanceId = rest.instanceId ?? 'i-1';
@@ -238,6 +246,19 @@
   t.true(bench.registry.isAccepting(SERVICE));
 });
 
+test('leaves of lives that have ended are bounded, and the last ones are kept', t => {
+  const bench = new Bench();
+  const leaves = new ServerLeaves(bench.system, () => []);
+  const lives = Array.from({length: 100}, (_, index) =>
+    bench.createHeartbeat({instanceId: `i-${index}`}),
+  );
+  for (const life of lives) leaves.keepHeard(life);
+  t.deepEqual(
+    [lives[0], lives.at(-1)].map(life => life && leaves.hasLeft(life)),
+    [false, true],
+  );
+});
+
 test('leaves of servers that are never heard are bounded', t => {
   const bench = new Bench();
   for (let index = 1; index <= 100; index++)
@@ -251,10 +272,7 @@
 
 test('a daemon that has just started releases no slice before the grants of the run before it have ended', t => {
   const bench = new Bench();
-  const release = () =>
-    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
-      bench.held = [];
-    });
+  const release = () => bench.releaseAll();
   t.deepEqual(release(), []);
   t.is(bench.held.length, 1, 'requests are admitted until the server is told');
   bench.system.shift(LEASE_DURATION_MS);
@@ -264,10 +282,7 @@
 
 test('grants of the run before end one lease after this run has bound its addresses, however late that is', t => {
   const bench = new Bench();
-  const release = () =>
-    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
-      bench.held = [];
-    });
+  const release = () => bench.releaseAll();
   release();
   bench.system.shift(LEASE_DURATION_MS);
   bench.registry.start();
@@ -372,10 +387,7 @@
 
 test('a slice is not released by a heartbeat that says nothing of the keys that are held', t => {
   const bench = createKnownBench();
-  const release = () =>
-    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
-      bench.held = [];
-    });
+  const release = () => bench.releaseAll();
   bench.system.shift(LEASE_DURATION_MS);
   bench.sendHeartbeat({sequence: 1});
   release();
@@ -389,10 +401,7 @@
 
 test('a slice is not released by the word of another life than the one that holds it', t => {
   const bench = createKnownBench();
-  const release = () =>
-    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
-      bench.held = [];
-    });
+  const release = () => bench.releaseAll();
   bench.system.shift(LEASE_DURATION_MS);
   bench.sendHeartbeat({sequence: 1});
   release();
@@ -418,10 +427,7 @@
 test('heartbeats from before a restart of the daemon that arrive late after it release no slice', t => {
   const bench = createKnownBench();
   bench.hasFollowed = true;
-  const release = () =>
-    bench.registry.releaseSlices(SERVICE, ASSIGNMENT.slices, () => {
-      bench.held = [];
-    });
+  const release = () => bench.releaseAll();
   release();
   // The server sent these before the run before this one gave it its keys.
   bench.sendHeartbeat({sequence: 1});
