--- a/packages/daemon/src/operator_listener.ts
+++ b/packages/daemon/src/operator_listener.ts
@@ -3,7 +3,7 @@
  */
 import type {FastifyInstance, FastifyReply} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import {createMessage, type Message} from '@dottereldrift/core/messages.js';
 import {hashKey} from '@dottereldrift/core/ring_hash.js';
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -52,6 +52,12 @@
 const REQUEST_TIMEOUT_MS = 600_000;
 const NOT_PRINTABLE_ASCII = /[^\x21-\x7e]/;
 
+/** Replaces the schema compilers of the framework, which take 1 MB to load: no route declares a schema. */
+const NO_SCHEMA_COMPILERS = {
+  buildValidator: refuseSchema,
+  buildSerializer: refuseSchema,
+};
+
 /** Creates a listener with the configured size, time and connection limits. */
 export function createListener(limits: Limits): FastifyInstance {
   const app = fastify({
@@ -70,6 +76,7 @@
       writeProblem(reply.raw, createHttpProblem(400, getErrorText(error)));
       request.raw.resume();
     },
+    schemaController: {compilersFactory: NO_SCHEMA_COMPILERS},
     forceCloseConnections: 'idle',
     // Requests that arrive while the listener closes are still handled, so that they report an outcome.
     return503OnClosing: false,
@@ -320,3 +327,7 @@
       return 503;
   }
 }
+
+function refuseSchema(): never {
+  throw new Error('Routes of a listener cannot have schemas.');
+}
--- a/packages/daemon/src/server_listener.ts
+++ b/packages/daemon/src/server_listener.ts
@@ -4,7 +4,7 @@
  */
 import type {FastifyInstance} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import {createMessage} from '@dottereldrift/core/messages.js';
 import {checkValue} from '@dottereldrift/manifest/check.js';
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -4,7 +4,7 @@
 import {readFileSync} from 'node:fs';
 
 import * as E from 'fp-ts/lib/Either.js';
-import {z} from 'zod';
+import * as z from 'zod';
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
 import {formatMessage} from '@dottereldrift/core/messages.js';
--- a/packages/manifest/src/check.ts
+++ b/packages/manifest/src/check.ts
@@ -3,7 +3,7 @@
  * value found and the values allowed.
  */
 import * as E from 'fp-ts/lib/Either.js';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
 import {formatMessage} from '@dottereldrift/core/messages.js';
--- a/packages/manifest/src/schema.ts
+++ b/packages/manifest/src/schema.ts
@@ -1,7 +1,7 @@
 /**
  * Defines the manifest schema: fields, defaults and limits.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_DEADLINE_MS = 600_000;
 const MAX_PRIORITY = 9;
--- a/packages/platform/src/heartbeats.ts
+++ b/packages/platform/src/heartbeats.ts
@@ -3,7 +3,7 @@
  */
 import type {FastifyInstance} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import type {Address, ServiceName} from '@dottereldrift/core/types.js';
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -2,7 +2,7 @@
  * Schemas of the platform's messages, with the field names used on the wire. These names are not used
  * outside this package.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_PORT = 65_535;
 const MAX_KEY = 65_535;
