--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -1,14 +1,20 @@
 /**
- * Follows the operator's configuration in the store. Every daemon does so directly, so that a relay that
- * is cut off from the store does not delay the configuration for its followers. A watch may stall without
- * an error, so a daemon that learns of a newer configuration from another daemon reads it from the store.
+ * Follows the operator's configuration. Daemons that read the store for others (see view_follower.ts) watch it
+ * linearizably and pass it on with the view. All other daemons get it from them; their own watch is serializable
+ * and only covers the loss of that path. A watch may stall without an error, so a daemon that learns of a newer
+ * configuration from another daemon reads it from the store unless it arrives by itself.
  */
 import * as E from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
-import type {StoredObject, StoreFailure} from '@dottereldrift/store/types.js';
+import type {
+  ReadConsistency,
+  StoredObject,
+  StoreFailure,
+  WatchOptions,
+} from '@dottereldrift/store/types.js';
 
 import type {StoreView} from './store_view.js';
 
@@ -22,44 +28,77 @@
 
 /** Source of the configuration. */
 export interface ConfigurationSource {
-  readConfiguration(): TaskEither<StoreFailure, ConfigurationAnswer>;
+  readConfiguration(
+    consistency?: ReadConsistency,
+  ): TaskEither<StoreFailure, ConfigurationAnswer>;
   /** Waits up to `waitMs` for a configuration newer than a revision. */
   watchConfiguration(
     afterRevision: number,
     waitMs: number,
+    options?: WatchOptions,
   ): TaskEither<StoreFailure, ConfigurationAnswer>;
 }
 
-/**
- * Maximum duration of one watch. Each watch is a billed call, and a stalled connection is detected only at
- * its end. Half of the duration is random, so that the watches of different daemons do not end together
- * and some daemon detects a stall early.
- */
-const WATCH_WAIT_MS = 8_000;
+/** How a daemon follows the configuration; depends on whether others get it from this daemon. */
+interface FollowMode {
+  readonly consistency: ReadConsistency;
+  /**
+   * Maximum duration of one watch. Each watch is a billed call, and a stalled connection is detected only at
+   * its end. Half of the duration is random, so that the watches of different daemons do not end together
+   * and some daemon detects a stall early.
+   */
+  readonly watchWaitMs: number;
+  /** Maximum delay between reads while the store is down; its return is detected within this time plus a call. */
+  readonly maxRetryDelayMs: number;
+  /** Time that a configuration which another daemon already has gets to arrive before it is read. */
+  readonly announcedReadDelayMs: number;
+}
+
+const READER_MODE: FollowMode = {
+  consistency: 'linearizable',
+  watchWaitMs: 8_000,
+  maxRetryDelayMs: 500,
+  announcedReadDelayMs: 200,
+};
+/** The delay of announced reads leaves the reader that this daemon follows time to read first. */
+const FOLLOWER_MODE: FollowMode = {
+  consistency: 'serializable',
+  watchWaitMs: 30_000,
+  maxRetryDelayMs: 4_000,
+  announcedReadDelayMs: 600,
+};
 const FIRST_RETRY_DELAY_MS = 100;
-/** Maximum delay between reads while the store is down; its return is detected within this time plus a call. */
-const MAX_RETRY_DELAY_MS = 500;
-/** Time that this daemon's own watch gets to report a configuration that another daemon already has. */
-const ANNOUNCED_READ_DELAY_MS = 200;
+/** Time that the view gets to load at the start. It may bring a configuration, which then need not be read. */
+const VIEW_LOAD_WAIT_MS = 1_000;
+const VIEW_LOAD_POLL_MS = 20;
+/** Minimum time between two reads for the same announced configuration. */
+const ANNOUNCED_RETRY_DELAY_MS = 1_000;
 
 /** Applies new configurations to the view. */
 export class ConfigurationFollower {
   private revision: number | undefined;
   /** Whether the last call failed. A watch might then wait on a dead connection, so the next call is a read. */
   private hasLastCallFailed = false;
-  /** Newest generation announced by another daemon for which a read is scheduled; 0 after a failed read. */
+  /** Newest generation announced by another daemon for which a read is scheduled or was just made. */
   private announcedGeneration = 0;
   private isStopped = false;
+  private cancelWatch: () => void = () => {};
 
+  /** @param isStoreReader Tells whether this daemon reads the store itself, so that others may follow it. */
   constructor(
     private readonly system: System,
     private readonly source: ConfigurationSource,
-    private readonly view: Pick<StoreView, 'applyObject' | 'getManifest'>,
+    private readonly view: Pick<
+      StoreView,
+      'applyObject' | 'getManifest' | 'isLoaded'
+    >,
+    private readonly isStoreReader: () => boolean,
     private readonly log: Log,
   ) {}
 
   /** Follows the configuration until stopped. */
   async run(): Promise<void> {
+    if (!this.view.isLoaded()) await this.waitForView();
     let failures = 0;
     while (!this.isStopped) {
       const isSuccessful = await this.tryFollow();
@@ -71,14 +110,20 @@
 
   stop(): void {
     this.isStopped = true;
+    this.cancelWatch();
   }
 
-  /** Handles the generation that another daemon has in effect; reads it unless the watch delivers it soon. */
+  /** Ends a serializable watch in progress, because this daemon has become a reader of the store. */
+  startReading(): void {
+    this.cancelWatch();
+  }
+
+  /** Handles the generation that another daemon has in effect; reads it unless it arrives soon. */
   receiveGeneration(generation: number): void {
     if (generation <= this.announcedGeneration || !this.isOlderThan(generation))
       return;
     this.announcedGeneration = generation;
-    this.system.startTimer(ANNOUNCED_READ_DELAY_MS, () => {
+    this.system.startTimer(this.getMode().announcedReadDelayMs, () => {
       if (!this.isStopped) void this.readAnnounced(generation);
     });
   }
@@ -93,14 +138,17 @@
     if (E.isRight(answer)) {
       const {accepted} = answer.right;
       if (accepted !== undefined) this.applyAccepted(accepted);
-      return;
+    } else {
+      this.log.writeInfo('Failed to read a newer configuration.', {
+        generation,
+        reason: answer.left.text,
+      });
     }
-    this.log.writeInfo('Failed to read a newer configuration.', {
-      generation,
-      reason: answer.left.text,
+    if (!this.isOlderThan(generation)) return;
+    // After the delay, the next heartbeat with this generation triggers another read.
+    this.system.startTimer(ANNOUNCED_RETRY_DELAY_MS, () => {
+      if (this.announcedGeneration === generation) this.announcedGeneration = 0;
     });
-    // The next heartbeat with this generation triggers another read.
-    this.announcedGeneration = 0;
   }
 
   private isOlderThan(generation: number): boolean {
@@ -111,14 +159,40 @@
     return this.view.getManifest()?.generation ?? 0;
   }
 
+  private async waitForView(): Promise<void> {
+    const endMs = this.system.getNow().monotonicMs + VIEW_LOAD_WAIT_MS;
+    while (
+      !this.isStopped &&
+      !this.view.isLoaded() &&
+      this.system.getNow().monotonicMs < endMs
+    )
+      await waitFor(this.system, VIEW_LOAD_POLL_MS);
+  }
+
+  private getMode(): FollowMode {
+    return this.isStoreReader() ? READER_MODE : FOLLOWER_MODE;
+  }
+
+  /** A daemon without a configuration reads it like a reader, because it cannot serve before. */
+  private getReadMode(): FollowMode {
+    return this.getGeneration() === 0 ? READER_MODE : this.getMode();
+  }
+
   private async tryFollow(): Promise<boolean> {
     const {revision: knownRevision} = this;
-    const randomizedMs = WATCH_WAIT_MS * (0.5 + this.system.getRandom() / 2);
-    const waitMs = Math.round(randomizedMs);
-    const answer =
-      knownRevision === undefined || this.hasLastCallFailed
-        ? await this.source.readConfiguration()()
-        : await this.source.watchConfiguration(knownRevision, waitMs)();
+    const mustRead = knownRevision === undefined || this.hasLastCallFailed;
+    const mode = mustRead ? this.getReadMode() : this.getMode();
+    const controller = new AbortController();
+    if (mode === FOLLOWER_MODE) this.cancelWatch = () => controller.abort();
+    const answer = mustRead
+      ? await this.source.readConfiguration(mode.consistency)()
+      : await this.source.watchConfiguration(
+          knownRevision,
+          this.drawWatchWaitMs(mode),
+          {consistency: mode.consistency, signal: controller.signal},
+        )();
+    this.cancelWatch = () => {};
+    if (controller.signal.aborted) return true;
     this.hasLastCallFailed = E.isLeft(answer);
     if (E.isLeft(answer)) {
       this.log.writeDebug('Failed to read the configuration.', {
@@ -127,7 +201,8 @@
       return false;
     }
     const {revision, accepted} = answer.right;
-    this.revision = revision;
+    // A serializable answer may be older than one before.
+    this.revision = Math.max(revision, knownRevision ?? 0);
     if (accepted !== undefined) this.applyAccepted(accepted);
     return true;
   }
@@ -144,9 +219,13 @@
     });
   }
 
+  private drawWatchWaitMs({watchWaitMs}: FollowMode): number {
+    return Math.round(watchWaitMs * (0.5 + this.system.getRandom() / 2));
+  }
+
   private getRetryDelayMs(failures: number): number {
     const limit = Math.min(
-      MAX_RETRY_DELAY_MS,
+      this.getReadMode().maxRetryDelayMs,
       FIRST_RETRY_DELAY_MS * 2 ** Math.min(failures, 10),
     );
     return limit * (0.5 + this.system.getRandom() / 2);
--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -22,7 +22,7 @@
   SliceRef,
   VersionedAssignment,
 } from '@dottereldrift/ownership/types.js';
-import type {ObjectStore} from '@dottereldrift/store/types.js';
+import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 
 import type {PeerClients} from './peer_client.js';
 import type {PlacementPlanner} from './placement_planner.js';
@@ -34,6 +34,9 @@
 
 const IDLE_POLL_INTERVAL_MS = 500;
 const MOVE_POLL_INTERVAL_MS = 20;
+/** Delay after the first of successive failed writes to the store; it doubles with each further one. */
+const FIRST_WRITE_RETRY_MS = 100;
+const MAX_WRITE_RETRY_MS = 1_000;
 /** Lets daemons that start together register before slices are first assigned. */
 const FIRST_PLACEMENT_DELAY_MS = 1_000;
 const CONFIGURATION_SUBJECT = 'configuration';
@@ -56,6 +59,9 @@
   private readonly releasedByMove = new Map<string, readonly SliceRef[]>();
   private wake: () => void = () => {};
   private hasChanged = false;
+  /** Successive writes that the store did not answer or refused for another reason than a conflict. */
+  private failedWrites = 0;
+  private writesPausedUntilMs = -Infinity;
 
   constructor(
     private readonly system: System,
@@ -102,7 +108,7 @@
   }
 
   private async runOnce(): Promise<boolean> {
-    if (!this.isActive()) return false;
+    if (!this.isActive() || this.isPaused()) return false;
     const live = this.view.getLiveSessions().map(session => session.member);
     if (this.isChosenCoordinator(CONFIGURATION_SUBJECT, live))
       await this.handleSubmittedManifest();
@@ -169,6 +175,7 @@
     const value = Buffer.from(JSON.stringify(json));
     const written = await this.store.updateObject(key, version, value)();
     if (E.isRight(written)) {
+      this.failedWrites = 0;
       this.view.applyObject({key, version: written.right, value});
       return true;
     }
@@ -176,10 +183,32 @@
       key,
       reason: written.left.text,
     });
-    await this.refreshObject(key);
+    await this.handleFailedWrite(key, written.left);
     return false;
   }
 
+  private isPaused(): boolean {
+    return this.system.getNow().monotonicMs < this.writesPausedUntilMs;
+  }
+
+  /** Reads an object that was changed by another writer. Pauses after any other failure. */
+  private async handleFailedWrite(
+    key: string,
+    {kind}: StoreFailure,
+  ): Promise<void> {
+    if (kind !== 'conflict') {
+      const delayMs = Math.min(
+        MAX_WRITE_RETRY_MS,
+        FIRST_WRITE_RETRY_MS * 2 ** Math.min(this.failedWrites, 10),
+      );
+      this.failedWrites += 1;
+      this.writesPausedUntilMs = this.system.getNow().monotonicMs + delayMs;
+    }
+    // A write without an effect leaves nothing new to read.
+    if (kind === 'conflict' || kind === 'unknown')
+      await this.refreshObject(key);
+  }
+
   private async refreshObject(key: string): Promise<void> {
     const read = await this.store.getObject(key)();
     if (E.isRight(read) && read.right !== undefined)
@@ -252,6 +281,7 @@
     const value = encodeAssignment(assignment);
     const written = await this.store.updateObject(key, version, value)();
     if (E.isRight(written)) {
+      this.failedWrites = 0;
       this.view.applyObject({key, version: written.right, value});
       this.log.writeInfo(
         'An assignment was written.',
@@ -263,7 +293,7 @@
       service: assignment.service,
       reason: written.left.text,
     });
-    await this.refreshObject(key);
+    await this.handleFailedWrite(key, written.left);
   }
 
   /** Returns the slices released so far and requests the remaining ones without waiting for replies. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,14 +13,15 @@
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
-import type {ObjectStore} from '@dottereldrift/store/types.js';
 import type {Address} from '@dottereldrift/core/types.js';
 
 import {BurnReport} from './burn_report.js';
 import {
   type ControlCounters,
+  CountingConfigurationSource,
   CountingStore,
   createCounters,
+  StoreCallCounter,
 } from './control_counters.js';
 import {ConfigurationFollower} from './configuration_follower.js';
 import {Coordinator} from './coordinator.js';
@@ -42,6 +43,7 @@
 import {SliceReleaser} from './slice_releaser.js';
 import {Owner} from './owner.js';
 import type {PeerServiceDependencies} from './peer_listener.js';
+import {PeerBackedStore} from './peer_backed_store.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {ServerRegistry} from './server_registry.js';
 import {LEAVING_ADMISSION_MS} from './server_types.js';
@@ -110,7 +112,7 @@
 /** The components of a daemon, independent of the network and the clock, which are passed in. */
 export class DaemonComponents implements Daemon {
   private readonly metrics: Metrics;
-  protected readonly store: ObjectStore;
+  protected readonly store: PeerBackedStore;
   protected readonly view: StoreView;
   private readonly counters: ControlCounters = createCounters();
   private readonly viewReplication: ViewReplication;
@@ -152,7 +154,14 @@
     this.metrics =
       platform?.metrics ??
       createMetrics(settings.statsdAddress, this.log.createChild('metrics'));
-    this.store = new CountingStore(adapters.store, this.counters);
+    const storeCalls = new StoreCallCounter(this.counters, this.metrics);
+    this.store = new PeerBackedStore(
+      system,
+      new CountingStore(adapters.store, storeCalls),
+      peers,
+      () => this.listHelpers(),
+      this.log.createChild('store'),
+    );
     this.view = new StoreView(system, this.log.createChild('store'));
     this.viewReplication = createViewReplication(
       settings,
@@ -250,10 +259,14 @@
       platform &&
       new ConfigurationFollower(
         system,
-        platform.configuration,
+        new CountingConfigurationSource(platform.configuration, storeCalls),
         this.view,
+        () => this.viewReplication.follower.isStoreReader(),
         this.log.createChild('configuration'),
       );
+    this.viewReplication.follower.setReaderListener(() => {
+      this.configuration?.startReading();
+    });
     this.report = new BurnReport(system);
     this.requestLog = new FailureLog(
       system,
@@ -266,7 +279,11 @@
         loopLagMs: this.loopMonitor.getLagMs(),
       }),
     );
-    this.tally = new RequestTally(system, this.log.createChild('tally'));
+    this.tally = new RequestTally(
+      system,
+      this.log.createChild('tally'),
+      this.counters,
+    );
     this.entry.setEndListener((exchange, result, trail) => {
       this.tally.observe(exchange, result, trail);
     });
@@ -447,6 +464,7 @@
       sliceReleaser: this.sliceReleaser,
       loadTracker: this.loadTracker,
       relay: this.viewReplication.relay,
+      store: this.store,
       system: this.system,
       getSelf: () => this.sessionManager.getMember(),
     };
@@ -461,6 +479,19 @@
     );
   }
 
+  /** Returns the daemon that this one follows, which hears from the store, and one drawn from the fleet. */
+  private listHelpers(): readonly Address[] {
+    const followed = this.viewReplication.follower.getFollowedAddress();
+    const others = this.view
+      .getLiveSessions()
+      .filter(({member}) => member.host !== this.settings.host);
+    const drawn = others[Math.floor(this.system.getRandom() * others.length)];
+    return [
+      ...(followed === undefined ? [] : [followed]),
+      ...(drawn === undefined ? [] : [drawn.peerAddress]),
+    ];
+  }
+
   private receiveDatagram(datagram: Datagram, from: Address): void {
     const {body} = datagram;
     if (body.value !== undefined)
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -18,6 +18,7 @@
 import {CODE_HEADER, OUTCOME_HEADER} from './headers.js';
 import type {SliceReleaser} from './slice_releaser.js';
 import type {Owner} from './owner.js';
+import {encodeUpdateResult, type PeerBackedStore} from './peer_backed_store.js';
 import type {RelayServer} from './relay_server.js';
 import type {WitnessService} from './witness_service.js';
 
@@ -28,6 +29,7 @@
   readonly sliceReleaser: SliceReleaser;
   readonly loadTracker: LoadTracker;
   readonly relay: RelayServer;
+  readonly store: Pick<PeerBackedStore, 'updateDirectly'>;
   readonly system: System;
   readonly getSelf: () => Member;
 }
@@ -94,6 +96,10 @@
       parts.loadTracker.receiveReport(parseReport(request));
       return {};
     },
+    updateObject: async ({key, expectedVersion, value}) =>
+      encodeUpdateResult(
+        await parts.store.updateDirectly(key, Number(expectedVersion), value),
+      ),
     followObjects: (request, context) =>
       parts.relay.serveFollower(Number(request.revision), context.signal),
     handOverEntries: request => {
--- a/packages/daemon/src/request_tally.ts
+++ b/packages/daemon/src/request_tally.ts
@@ -1,10 +1,12 @@
 /**
- * Counts the results of routed requests and the offers made for them, and logs the counts periodically. The
- * logs of single requests are rate-limited and incomplete under load; these counts cover all requests.
+ * Counts the results of routed requests and the offers made for them, and logs the counts periodically, together
+ * with the store calls since the start. The logs of single requests are rate-limited and incomplete under load;
+ * these counts cover all requests.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import type {System} from '@dottereldrift/core/system.js';
 
+import type {ControlCounters} from './control_counters.js';
 import type {AttemptResult, Exchange} from './exchange.js';
 
 const INTERVAL_MS = 5_000;
@@ -20,6 +22,11 @@
   hops: number;
 }
 
+type StoreCallCounts = Pick<
+  ControlCounters,
+  'storeCallsByPurpose' | 'storeSerializableCalls'
+>;
+
 interface Row {
   count: number;
   offers: number;
@@ -35,6 +42,7 @@
   constructor(
     private readonly system: System,
     private readonly log: Log,
+    private readonly counters: StoreCallCounts,
   ) {}
 
   start(): void {
@@ -89,6 +97,7 @@
     this.log.writeInfo('Counts of finished requests.', {
       columns: 'kind end requests offers hops tookMs',
       rows: rows.join('; '),
+      storeCalls: formatStoreCalls(this.counters),
     });
   }
 }
@@ -100,3 +109,13 @@
     : `${Math.floor(result.status / 100)}xx`;
   return isWithinGoal ? status : `${status}-late`;
 }
+
+function formatStoreCalls({
+  storeCallsByPurpose,
+  storeSerializableCalls,
+}: StoreCallCounts): string {
+  const rows = {...storeCallsByPurpose, serializable: storeSerializableCalls};
+  return Object.entries(rows)
+    .map(([purpose, count]) => `${purpose} ${count}`)
+    .join('; ');
+}
--- a/packages/daemon/src/session_manager.ts
+++ b/packages/daemon/src/session_manager.ts
@@ -9,6 +9,7 @@
 import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
 import type {Incarnation, Instant, Member} from '@dottereldrift/core/types.js';
+import {FleetSettling} from '@dottereldrift/membership/fleet_settling.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   LEASE_DURATION_MS,
@@ -48,7 +49,10 @@
   Session,
   VersionedSession,
 } from '@dottereldrift/membership/types.js';
-import {chooseWitnesses} from '@dottereldrift/membership/witness_choice.js';
+import {
+  chooseWitnesses,
+  isSameSet,
+} from '@dottereldrift/membership/witness_choice.js';
 import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 
 import type {DatagramChannel} from './datagram_channel.js';
@@ -97,6 +101,7 @@
   private lastSentAt: Instant | undefined;
   private isStopped = false;
   private lastSetChangeMs = -Infinity;
+  private readonly settling = new FleetSettling();
   private lastClockMismatchMs = -Infinity;
   /** Previous incarnations on this host whose grants may still be in force, newest first. */
   private follows: readonly Incarnation[] = [];
@@ -393,7 +398,13 @@
     // With fewer other members, the set would depend on a single host.
     const hasOthers = renewing.length > SMALL_WITNESS_SET_SIZE;
     const candidates = hasOthers ? renewing : live;
-    return chooseWitnesses(self, candidates, present?.witnesses ?? []);
+    const wanted = chooseWitnesses(self, candidates, present?.witnesses ?? []);
+    this.settling.observe(live, nowMs);
+    const isDeferred =
+      present !== undefined &&
+      !isSameSet(wanted, present.witnesses) &&
+      !this.settling.mayChange(present.witnesses, candidates, nowMs);
+    return isDeferred ? present.witnesses : wanted;
   }
 
   private async applyEvent(event: WriterEvent): Promise<void> {
@@ -491,6 +502,14 @@
     const answer = getWriteAnswer(written);
     await this.applyEvent({kind: 'answered', write, answer});
     if (E.isRight(written)) {
+      const {witnesses, servers, isLeaving} = write.session;
+      this.log.writeInfo('The session was written.', {
+        version: written.right,
+        expectedVersion: write.expectedVersion,
+        witnesses: witnesses.map(formatMember).join(' '),
+        servers: servers.map(formatServer).join(' '),
+        isLeaving,
+      });
       this.view.applyObject({key, version: written.right, value});
     } else if (written.left.kind !== 'conflict') {
       this.log.writeWarning('The session could not be written.', {
@@ -534,6 +553,10 @@
 /** Time after which the grants of a terminated incarnation on this host have expired. */
 export const PREVIOUS_GRANTS_LAPSE_MS = LEASE_DURATION_MS;
 
+function formatServer({service, life, voidToken = 0}: ServerInfo): string {
+  return `${service}/${life ?? ''}/${voidToken}`;
+}
+
 function getWriteAnswer(written: E.Either<StoreFailure, number>): WriteAnswer {
   if (E.isRight(written)) return {kind: 'written', version: written.right};
   const {kind} = written.left;
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -240,9 +240,12 @@
     this.notifyListeners();
   }
 
-  /** Removes the objects that are not in a listing made at a revision. */
+  /**
+   * Removes the objects that are not in a listing made at a revision. The accepted configuration is never
+   * deleted: where it is not listed, it comes from another source.
+   */
   removeUnlisted(listedKeys: readonly string[], revision: number): void {
-    const listed = new Set(listedKeys);
+    const listed = new Set([...listedKeys, ACCEPTED_MANIFEST_KEY]);
     for (const key of [...this.objects.keys()]) {
       if (!listed.has(key)) this.removeObject(key, revision);
     }
--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -29,7 +29,10 @@
     if (this.mustLoad && this.view.isLoaded()) this.mustLoad = false;
     if (this.mustLoad) return this.tryLoad();
     const revision = this.view.getRevision();
-    const watched = await this.store.watchObjects('', revision, waitMs)();
+    // Every decision on an object rests on a conditional update or a vote, never on how current the view is.
+    const watched = await this.store.watchObjects('', revision, waitMs, {
+      consistency: 'serializable',
+    })();
     if (E.isLeft(watched)) {
       this.log.writeWarning('Cannot watch the store.', {
         reason: watched.left.text,
@@ -55,7 +58,7 @@
   }
 
   private async tryLoad(): Promise<boolean> {
-    const listed = await this.store.listObjects('')();
+    const listed = await this.store.listObjects('', 'serializable')();
     if (E.isLeft(listed)) {
       this.log.writeWarning('Cannot read the store.', {
         reason: listed.left.text,
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -15,6 +15,10 @@
 
 /** Maximum duration of one watch by a relay, which bounds how late it detects that it is cut off. */
 const WATCH_WAIT_MS = 2_000;
+/** Minimum time between two calls to the store, so that changes in quick succession share a call. */
+const MIN_WATCH_INTERVAL_MS = 100;
+/** Time after which a daemon that watches the store counts as a reader that others may follow. */
+const READER_SETTLE_MS = 1_000;
 const RETRY_DELAY_MS = 200;
 const MAX_RETRY_DELAY_MS = 2_000;
 /** Time without store contact after which followers of a relay look for another source. */
@@ -55,6 +59,10 @@
   private lastSearchMs = -Infinity;
   /** Whether the view was last updated by a daemon that was followed in place of the relay. */
   private isFollowingAlternate = false;
+  private followedAddress: Address | undefined;
+  private sourceSinceMs = -Infinity;
+  private lastStoreCallMs = -Infinity;
+  private onReader: () => void = () => {};
 
   constructor(
     private readonly settings: FollowerSettings,
@@ -86,6 +94,27 @@
     return this.source;
   }
 
+  /** Returns the address of the daemon that is followed; undefined if the view comes from the store. */
+  getFollowedAddress(): Address | undefined {
+    return this.followedAddress;
+  }
+
+  /**
+   * Tells whether this daemon reads the store itself, so that others may follow it. A daemon that has just turned
+   * to the store, as all do while a fleet starts, may soon find a relay.
+   */
+  isStoreReader(): boolean {
+    return (
+      this.source === 'store' &&
+      this.system.getNow().monotonicMs - this.sourceSinceMs >= READER_SETTLE_MS
+    );
+  }
+
+  /** Sets the listener that is called once this daemon reads the store itself. */
+  setReaderListener(listener: () => void): void {
+    this.onReader = listener;
+  }
+
   /** Loads the view from the store, or from a randomly selected peer if the store cannot be read. */
   private async tryLoad(): Promise<boolean> {
     this.setSource('store');
@@ -94,7 +123,7 @@
     const index = Math.floor(this.system.getRandom() * peers.length);
     const peer = peers[index];
     if (peer === undefined) return false;
-    this.setSource('peer');
+    this.setSource('peer', peer);
     await this.client.followDaemon(peer, () => false);
     return this.view.isLoaded();
   }
@@ -116,7 +145,7 @@
   private async watchStore(isFallback: boolean): Promise<boolean> {
     if (isFallback && this.source === 'relay') await this.waitForJitter();
     this.setSource('store');
-    if (await this.watcher.tryRefreshView(WATCH_WAIT_MS)) {
+    if (await this.tryRefreshView(WATCH_WAIT_MS)) {
       this.isFollowingAlternate = false;
       return true;
     }
@@ -125,8 +154,16 @@
     return this.tryFollowAlternate(this.settings.host);
   }
 
+  private async tryRefreshView(waitMs: number): Promise<boolean> {
+    const sinceMs = this.system.getNow().monotonicMs - this.lastStoreCallMs;
+    if (sinceMs < MIN_WATCH_INTERVAL_MS)
+      await waitFor(this.system, MIN_WATCH_INTERVAL_MS - sinceMs);
+    this.lastStoreCallMs = this.system.getNow().monotonicMs;
+    return this.watcher.tryRefreshView(waitMs);
+  }
+
   private async watchRelay(host: HostName, address: Address): Promise<boolean> {
-    this.setSource('relay');
+    this.setSource('relay', address);
     const startedAtMs = this.system.getNow().monotonicMs;
     let isStoreSilent = false;
     await this.client.followDaemon(address, ({storeSilenceMs}) => {
@@ -168,7 +205,7 @@
     this.isFollowingAlternate = false;
     this.setSource('store');
     while (!this.isStopped && this.system.getNow().monotonicMs < endMs)
-      if (!(await this.watcher.tryRefreshView(WATCH_WAIT_MS))) return;
+      if (!(await this.tryRefreshView(WATCH_WAIT_MS))) return;
   }
 
   /** Follows a random daemon with store contact for a limited time; returns false if none was found. */
@@ -199,7 +236,7 @@
     const mayContinue: FollowCondition = ({storeSilenceMs}) => {
       if (storeSilenceMs > MAX_STORE_SILENCE_MS) return false;
       this.isFollowingAlternate = true;
-      this.setSource('peer');
+      this.setSource('peer', address);
       return !this.isStopped && this.system.getNow().monotonicMs < endMs;
     };
     await this.client.followDaemon(address, mayContinue, CANDIDATE_TIMEOUT_MS);
@@ -263,10 +300,16 @@
     await waitFor(this.system, this.system.getRandom() * MAX_STORE_JITTER_MS);
   }
 
-  private setSource(source: ViewSource): void {
+  private setSource(source: ViewSource, followed?: Address): void {
+    this.followedAddress = followed;
     if (source === this.source) return;
     this.source = source;
     this.log.writeInfo('The source of the store view changed.', {source});
+    this.sourceSinceMs = this.system.getNow().monotonicMs;
+    if (source !== 'store') return;
+    this.system.startTimer(READER_SETTLE_MS, () => {
+      if (!this.isStopped && this.isStoreReader()) this.onReader();
+    });
   }
 
   private getRetryDelayMs(failures: number): number {
--- a/packages/daemon/test/configuration_follower.test.ts
+++ b/packages/daemon/test/configuration_follower.test.ts
@@ -5,7 +5,11 @@
 import * as E from 'fp-ts/lib/Either.js';
 
 import {createLog} from '@dottereldrift/core/log.js';
-import type {StoredObject, StoreFailure} from '@dottereldrift/store/types.js';
+import type {
+  ReadConsistency,
+  StoredObject,
+  StoreFailure,
+} from '@dottereldrift/store/types.js';
 
 import {
   type ConfigurationAnswer,
@@ -21,13 +25,27 @@
 class Fixture {
   readonly system = new ManualSystem();
   readonly calls: string[] = [];
+  /** Consistency of each call, in order. */
+  readonly consistencies: ReadConsistency[] = [];
+  readonly waitsMs: number[] = [];
   generation = 0;
+  isStoreReader = true;
   private answer: (answer: Answer) => void = () => {};
   readonly follower = new ConfigurationFollower(
     this.system,
     {
-      readConfiguration: () => () => this.call('read'),
-      watchConfiguration: () => () => this.call('watch'),
+      readConfiguration: consistency => () => {
+        this.consistencies.push(consistency ?? 'linearizable');
+        return this.call('read');
+      },
+      watchConfiguration: (_after, waitMs, options) => () => {
+        this.consistencies.push(options?.consistency ?? 'linearizable');
+        this.waitsMs.push(waitMs);
+        options?.signal?.addEventListener('abort', () => {
+          this.answer(E.left(UNAVAILABLE));
+        });
+        return this.call('watch');
+      },
     },
     {
       applyObject: ({version}: StoredObject) => {
@@ -41,7 +59,9 @@
               sourceVersion: 0,
               manifest: {services: {}},
             },
+      isLoaded: () => true,
     },
+    () => this.isStoreReader,
     createLog('test', 'hidden', 'error'),
   );
 
@@ -104,3 +124,58 @@
   fixture.system.shift(200);
   t.is(fixture.calls.length, 3);
 });
+
+test('an announced configuration is read again after a read that returned an older one', async t => {
+  const fixture = new Fixture();
+  await fixture.answerLast(createAnswer(1));
+  fixture.follower.receiveGeneration(2);
+  fixture.system.shift(200);
+  await fixture.answerLast(createAnswer(1));
+  fixture.follower.receiveGeneration(2);
+  t.is(fixture.calls.length, 3, 'a pause keeps heartbeats from flooding');
+  fixture.system.shift(1_000);
+  fixture.follower.receiveGeneration(2);
+  fixture.system.shift(200);
+  t.deepEqual(fixture.calls, ['read', 'watch', 'read', 'read']);
+});
+
+test('a daemon that follows another one watches serializably and seldom, and leaves announced reads to that one', async t => {
+  const fixture = new Fixture();
+  fixture.isStoreReader = false;
+  await fixture.answerLast(createAnswer(1));
+  t.deepEqual(fixture.consistencies, ['linearizable', 'serializable']);
+  t.true((fixture.waitsMs[0] ?? 0) >= 15_000);
+  fixture.follower.receiveGeneration(2);
+  fixture.system.shift(500);
+  t.is(fixture.calls.length, 2);
+  fixture.generation = 2;
+  fixture.system.shift(200);
+  t.is(fixture.calls.length, 2, 'it has arrived with the view');
+  fixture.follower.receiveGeneration(3);
+  fixture.system.shift(600);
+  t.deepEqual(fixture.calls, ['read', 'watch', 'read']);
+  t.is(fixture.consistencies[2], 'linearizable');
+});
+
+test('a serializable watch ends when the daemon becomes a reader of the store', async t => {
+  const fixture = new Fixture();
+  fixture.isStoreReader = false;
+  await fixture.answerLast(createAnswer(1));
+  fixture.isStoreReader = true;
+  fixture.follower.startReading();
+  await fixture.waitForPromises();
+  t.deepEqual(fixture.calls, ['read', 'watch', 'watch']);
+  t.is(fixture.consistencies[2], 'linearizable');
+  t.true((fixture.waitsMs[1] ?? Infinity) <= 8_000);
+});
+
+test('a daemon that follows another one retries seldom while the store is down', async t => {
+  const fixture = new Fixture();
+  fixture.isStoreReader = false;
+  await fixture.answerLast(createAnswer(1));
+  for (let passedMs = 0; passedMs < 10_000; passedMs += 100) {
+    await fixture.answerLast(E.left(UNAVAILABLE));
+    fixture.system.shift(100);
+  }
+  t.true(fixture.calls.length <= 12, `${fixture.calls.length} calls`);
+});
--- a/packages/daemon/test/coordinator.test.ts
+++ b/packages/daemon/test/coordinator.test.ts
@@ -4,6 +4,7 @@
  */
 import test from 'ava';
 import * as E from 'fp-ts/lib/Either.js';
+import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 
 import {createLog} from '@dottereldrift/core/log.js';
 import type {Member} from '@dottereldrift/core/types.js';
@@ -18,6 +19,7 @@
 } from '@dottereldrift/ownership/assignment_record.js';
 import {createSlices} from '@dottereldrift/ownership/slices.js';
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
+import type {StoredObject, StoreFailure} from '@dottereldrift/store/types.js';
 
 import {Coordinator} from '../src/coordinator.js';
 import {LoadTracker} from '../src/load_tracker.js';
@@ -34,6 +36,14 @@
 const RESTARTED: Member = {host: 'h2', incarnation: 'b'};
 const RULES = {division: 'byRange', fencing: 'checked', slicesPerServer: 1};
 const DECISION_INTERVAL_MS = 600;
+const STEP_MS = 20;
+const OUTAGE_MS = 7_000;
+/** Writes in an outage if the delay doubles from 100 ms to 1 s. */
+const MAX_OUTAGE_WRITES = 11;
+const UNAVAILABLE: E.Either<StoreFailure, never> = E.left({
+  kind: 'unavailable',
+  text: 'status 429',
+});
 
 function waitForPromises(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
@@ -57,9 +67,38 @@
   };
 }
 
+/** A store that counts the calls of the coordinator and refuses them while it is unavailable. */
+class RefusingStore extends MemoryStore {
+  isUnavailable = false;
+  reads = 0;
+  writes = 0;
+
+  override getObject(
+    key: string,
+  ): TaskEither<StoreFailure, StoredObject | undefined> {
+    const read = super.getObject(key);
+    return () => {
+      this.reads += 1;
+      return this.isUnavailable ? Promise.resolve(UNAVAILABLE) : read();
+    };
+  }
+
+  override updateObject(
+    key: string,
+    version: number,
+    value: Uint8Array,
+  ): TaskEither<StoreFailure, number> {
+    const update = super.updateObject(key, version, value);
+    return () => {
+      this.writes += 1;
+      return this.isUnavailable ? Promise.resolve(UNAVAILABLE) : update();
+    };
+  }
+}
+
 class Fixture {
   readonly system = new ManualSystem();
-  readonly store = new MemoryStore(this.system);
+  readonly store = new RefusingStore(this.system);
   readonly view = new StoreView(this.system, LOG);
   readonly watcher = new StoreWatcher(this.store, this.view, LOG);
   readonly coordinator = new Coordinator(
@@ -143,3 +182,28 @@
   t.deepEqual(fixture.getOwners(), expected);
   fixture.coordinator.stop();
 });
+
+test('a coordinator that the store turns away retries with a growing delay and does not read what it cannot have changed', async t => {
+  const fixture = new Fixture();
+  await fixture.writeManifest();
+  await fixture.writeSession(createSession(SELF, []));
+  await fixture.writeSession(createSession(OTHER, []));
+  await fixture.watcher.tryRefreshView(0);
+  const {store} = fixture;
+  store.isUnavailable = true;
+  store.writes = 0;
+  store.reads = 0;
+  void fixture.coordinator.run();
+  for (let passedMs = 0; passedMs < OUTAGE_MS; passedMs += STEP_MS) {
+    fixture.system.shift(STEP_MS);
+    await waitForPromises();
+  }
+  t.true(store.writes >= 4, `${store.writes} writes`);
+  t.true(store.writes <= MAX_OUTAGE_WRITES, `${store.writes} writes`);
+  t.is(store.reads, 0);
+
+  store.isUnavailable = false;
+  for (let pass = 0; pass < 4; pass++) await fixture.runDecision();
+  t.is(fixture.getOwners()?.length, 2);
+  fixture.coordinator.stop();
+});
--- a/packages/daemon/test/relay_fleet.ts
+++ b/packages/daemon/test/relay_fleet.ts
@@ -18,7 +18,11 @@
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
 import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 
-import {CountingStore, createCounters} from '../src/control_counters.js';
+import {
+  CountingStore,
+  createCounters,
+  StoreCallCounter,
+} from '../src/control_counters.js';
 import type {PeerClient} from '../src/peer_client.js';
 import {RelayClient} from '../src/relay_client.js';
 import {RelayServer} from '../src/relay_server.js';
@@ -55,7 +59,7 @@
     this.view = new StoreView(system, LOG);
     const store = new CountingStore(
       createInterruptibleStore(fleet, this),
-      this.counters,
+      new StoreCallCounter(this.counters, {addCount: () => {}}),
     );
     const watcher = new StoreWatcher(store, this.view, LOG);
     const client = new RelayClient(
--- a/packages/daemon/test/request_log.test.ts
+++ b/packages/daemon/test/request_log.test.ts
@@ -85,7 +85,10 @@
 test('requests are counted by result with their offers and durations, and logged periodically', t => {
   const system = new ManualSystem();
   const log = new RecordingLog();
-  const tally = new RequestTally(system, log);
+  const tally = new RequestTally(system, log, {
+    storeCallsByPurpose: {watch: 3, 'write-session': 1},
+    storeSerializableCalls: 2,
+  });
   const exchange = {
     kind: {name: 'r-menu'},
     routed: {goalMs: 200},
@@ -113,6 +116,10 @@
       'r-menu 2xx-late 1 1 1 5000',
     ],
   );
+  t.is(
+    log.lines[0]?.['storeCalls'],
+    'watch 3; write-session 1; serializable 2',
+  );
   tally.stop();
   t.is(system.countTimers(), 0);
 });
@@ -120,7 +127,10 @@
 test('the number of counted kinds is bounded', t => {
   const system = new ManualSystem();
   const log = new RecordingLog();
-  const tally = new RequestTally(system, log);
+  const tally = new RequestTally(system, log, {
+    storeCallsByPurpose: {watch: 3, 'write-session': 1},
+    storeSerializableCalls: 2,
+  });
   for (let kind = 0; kind < MAX_ROWS + BURST; kind++) {
     const exchange = {
       kind: {name: `r-${kind}`},
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -5,7 +5,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 import {Pool} from 'undici';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
 import type {Log} from '@dottereldrift/core/log.js';
@@ -28,8 +28,10 @@
   ObjectChange,
   ObjectStore,
   ObjectVersion,
+  ReadConsistency,
   StoredObject,
   StoreFailure,
+  WatchOptions,
   WatchResult,
 } from '@dottereldrift/store/types.js';
 
@@ -88,12 +90,15 @@
   }
 
   /** Reads all objects of the daemons and the configuration. */
-  listObjects(): TaskEither<StoreFailure, ListResult> {
+  listObjects(
+    _prefix?: string,
+    consistency?: ReadConsistency,
+  ): TaskEither<StoreFailure, ListResult> {
     return async () => {
       const objects: StoredObject[] = [];
       let revision: number | undefined;
       for (let after = ''; ;) {
-        const page = await this.listPage(PRODUCT_KIND, after);
+        const page = await this.listPage(PRODUCT_KIND, after, consistency);
         if (E.isLeft(page)) return page;
         const {items, has_more: hasMore, store_revision: found} = page.right;
         revision ??= found;
@@ -102,7 +107,7 @@
         if (hasMore !== true || last === undefined) break;
         after = last.metadata.name;
       }
-      const configuration = await this.readConfiguration()();
+      const configuration = await this.readConfiguration(consistency)();
       if (E.isLeft(configuration)) return configuration;
       const {accepted} = configuration.right;
       if (accepted !== undefined) objects.push(accepted);
@@ -156,9 +161,15 @@
     _prefix: string,
     afterRevision: ObjectVersion,
     waitMs: number,
+    options: WatchOptions = {},
   ): TaskEither<StoreFailure, WatchResult> {
     return async () => {
-      const watched = await this.watchKind(PRODUCT_KIND, afterRevision, waitMs);
+      const watched = await this.watchKind(
+        PRODUCT_KIND,
+        afterRevision,
+        waitMs,
+        options,
+      );
       if (E.isLeft(watched)) return watched;
       if (watched.right === 'gone')
         return E.right({revision: afterRevision, changes: [], isReset: true});
@@ -170,9 +181,11 @@
     };
   }
 
-  readConfiguration(): TaskEither<StoreFailure, ConfigurationAnswer> {
+  readConfiguration(
+    consistency?: ReadConsistency,
+  ): TaskEither<StoreFailure, ConfigurationAnswer> {
     return async () => {
-      const page = await this.listPage(CONFIGURATION_KIND, '');
+      const page = await this.listPage(CONFIGURATION_KIND, '', consistency);
       if (E.isLeft(page)) return page;
       const {items, store_revision: revision} = page.right;
       return E.right(this.createConfigurationAnswer(items, revision));
@@ -182,15 +195,18 @@
   watchConfiguration(
     afterRevision: number,
     waitMs: number,
+    options: WatchOptions = {},
   ): TaskEither<StoreFailure, ConfigurationAnswer> {
     return async () => {
       const watched = await this.watchKind(
         CONFIGURATION_KIND,
         afterRevision,
         waitMs,
+        options,
       );
       if (E.isLeft(watched)) return watched;
-      if (watched.right === 'gone') return this.readConfiguration()();
+      if (watched.right === 'gone')
+        return this.readConfiguration(options.consistency)();
       const {events, store_revision: revision} = watched.right;
       const objects = events
         .filter(({removed}) => removed !== true)
@@ -230,17 +246,32 @@
     return {revision, accepted};
   }
 
-  private async listPage(kind: string, after: string) {
-    const query = after === '' ? '' : `?after=${encodeURIComponent(after)}`;
-    const path = `${formatPath(kind, undefined)}${query}`;
+  private async listPage(
+    kind: string,
+    after: string,
+    consistency?: ReadConsistency,
+  ) {
+    const path = formatPath(kind, undefined, {
+      ...(after === '' ? {} : {after}),
+      ...formatConsistency(consistency),
+    });
     const reply = await this.call('GET', path, CALL_TIMEOUT_MS);
     return E.isLeft(reply) ? reply : readBody(listSchema, reply.right);
   }
 
-  private async watchKind(kind: string, revision: number, waitMs: number) {
-    const query = `watch=${revision}&wait_ms=${Math.round(waitMs)}`;
-    const path = `${formatPath(kind, undefined)}?${query}`;
-    const reply = await this.call('GET', path, waitMs + WATCH_GRACE_MS);
+  private async watchKind(
+    kind: string,
+    revision: number,
+    waitMs: number,
+    {consistency, signal}: WatchOptions,
+  ) {
+    const path = formatPath(kind, undefined, {
+      watch: String(revision),
+      wait_ms: String(Math.round(waitMs)),
+      ...formatConsistency(consistency),
+    });
+    const timeoutMs = waitMs + WATCH_GRACE_MS;
+    const reply = await this.call('GET', path, timeoutMs, undefined, signal);
     if (E.isLeft(reply)) return reply;
     if (reply.right.status === GONE_STATUS) return E.right('gone' as const);
     return readBody(watchSchema, reply.right);
@@ -251,6 +282,7 @@
     path: string,
     timeoutMs: number,
     body?: object,
+    signal?: AbortSignal,
   ): Promise<E.Either<StoreFailure, Reply>> {
     if (!this.budget.tryTake()) {
       const budget = this.budget.callsPerSecond;
@@ -258,6 +290,7 @@
       return E.left({kind: 'budget', text});
     }
     const {pool} = this;
+    const timeout = AbortSignal.timeout(timeoutMs);
     try {
       const response = await pool.request({
         method,
@@ -269,14 +302,17 @@
               body: JSON.stringify(body),
             }),
         // No further response arrives on a connection that lost one, so the signal closes it.
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: signal ? AbortSignal.any([timeout, signal]) : timeout,
       });
       const text = await response.body.text();
       this.recordSuccess(method);
       return E.right({status: response.statusCode, body: parseJson(text)});
     } catch (error) {
-      this.recordFailure(method, error);
-      this.renewPool(pool);
+      // A call that its caller ended says nothing about the store.
+      if (signal?.aborted !== true) {
+        this.recordFailure(method, error);
+        this.renewPool(pool);
+      }
       return E.left(createCallFailure(method === 'GET', error));
     }
   }
@@ -319,9 +355,21 @@
   });
 }
 
-function formatPath(kind: string, name: string | undefined): string {
+function formatPath(
+  kind: string,
+  name: string | undefined,
+  query: Readonly<Record<string, string>> = {},
+): string {
   const suffix = name === undefined ? '' : `/${encodeURIComponent(name)}`;
-  return `/objects/${kind}${suffix}`;
+  const parameters = new URLSearchParams(query).toString();
+  const path = `/objects/${kind}${suffix}`;
+  return parameters === '' ? path : `${path}?${parameters}`;
+}
+
+function formatConsistency(
+  consistency: ReadConsistency = 'linearizable',
+): Readonly<Record<string, string>> {
+  return consistency === 'serializable' ? {serializable: '1'} : {};
 }
 
 /** Replaces the first slash of a key by a dot, because object names cannot contain slashes. */
--- a/packages/platform/test/fake_store.ts
+++ b/packages/platform/test/fake_store.ts
@@ -29,6 +29,8 @@
   nextStatus = 0;
   /** Whether the next write is executed and its connection then closed without a response. */
   isNextResponseLost = false;
+  /** Path and query of each call received, in order. */
+  readonly urls: string[] = [];
   /** Connection of each call received, in order. */
   readonly sockets: Socket[] = [];
   /** Whether the next call gets no response on a connection that stays open. */
@@ -44,6 +46,7 @@
   async start(): Promise<Address> {
     this.app.addHook('onRequest', async (request, reply) => {
       this.sockets.push(request.raw.socket);
+      this.urls.push(request.url);
       if (this.isNextSilent) {
         this.isNextSilent = false;
         return reply.hijack();
--- a/packages/platform/test/store.test.ts
+++ b/packages/platform/test/store.test.ts
@@ -124,3 +124,26 @@
     [],
   );
 });
+
+test('reads that may be old say so, and a watch that its caller ends leaves the connections in use', async t => {
+  const {fake, store} = t.context;
+  await store.listObjects('', 'serializable')();
+  await store.watchObjects('', 10, WAIT_MS, {consistency: 'serializable'})();
+  await store.watchConfiguration(10, WAIT_MS)();
+  t.deepEqual(fake.urls, [
+    '/objects/dottereldrift?serializable=1',
+    '/objects/config?serializable=1',
+    `/objects/dottereldrift?watch=10&wait_ms=${WAIT_MS}&serializable=1`,
+    `/objects/config?watch=10&wait_ms=${WAIT_MS}`,
+  ]);
+
+  fake.isNextSilent = true;
+  const controller = new AbortController();
+  const {signal} = controller;
+  const watch = store.watchObjects('', 10, 60_000, {signal})();
+  const socketsBefore = fake.sockets.length;
+  setTimeout(() => controller.abort(), WAIT_MS);
+  t.is(getFailureKind(await watch), 'unavailable');
+  t.true(E.isRight(await store.getObject('a/b')()));
+  t.true(fake.sockets.length > socketsBefore);
+});
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -57,12 +57,31 @@
   readonly foundVersion?: ObjectVersion;
 }
 
-/** Operations of the object store. */
+/**
+ * How current the answer to a read is.
+ *
+ * - `linearizable`: it contains every write that was acknowledged before the call.
+ * - `serializable`: it is a state that the store once had, which may be some seconds old. Cheaper for the store.
+ */
+export type ReadConsistency = 'linearizable' | 'serializable';
+
+/** Options of a watch. */
+export interface WatchOptions {
+  /** Linearizable if not set. */
+  readonly consistency?: ReadConsistency;
+  /** Ends the watch early; it then fails as `unavailable`. */
+  readonly signal?: AbortSignal;
+}
+
+/** Operations of the object store. Reads are linearizable unless a call asks for less. */
 export interface ObjectStore {
   /** Reads one object. Returns `undefined` if it does not exist. */
   getObject(key: string): TaskEither<StoreFailure, StoredObject | undefined>;
   /** Reads every object whose key starts with the prefix. */
-  listObjects(prefix: string): TaskEither<StoreFailure, ListResult>;
+  listObjects(
+    prefix: string,
+    consistency?: ReadConsistency,
+  ): TaskEither<StoreFailure, ListResult>;
   /**
    * Writes an object if it has the expected version; 0 means that it must not exist. Returns the new
    * version.
@@ -82,5 +101,6 @@
     prefix: string,
     afterRevision: ObjectVersion,
     waitMs: number,
+    options?: WatchOptions,
   ): TaskEither<StoreFailure, WatchResult>;
 }
