--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -15,8 +15,6 @@
 
 /** Maximum duration of one watch by a relay, which bounds how late it detects that it is cut off. */
 const WATCH_WAIT_MS = 2_000;
-/** Minimum time between two calls to the store, so that changes in quick succession share a call. */
-const MIN_WATCH_INTERVAL_MS = 100;
 /** Time after which a daemon that watches the store counts as a reader that others may follow. */
 const READER_SETTLE_MS = 1_000;
 const RETRY_DELAY_MS = 200;
@@ -61,7 +59,6 @@
   private isFollowingAlternate = false;
   private followedAddress: Address | undefined;
   private sourceSinceMs = -Infinity;
-  private lastStoreCallMs = -Infinity;
   private onReader: () => void = () => {};
 
   constructor(
@@ -145,7 +142,7 @@
   private async watchStore(isFallback: boolean): Promise<boolean> {
     if (isFallback && this.source === 'relay') await this.waitForJitter();
     this.setSource('store');
-    if (await this.tryRefreshView(WATCH_WAIT_MS)) {
+    if (await this.watcher.tryRefreshView(WATCH_WAIT_MS)) {
       this.isFollowingAlternate = false;
       return true;
     }
@@ -154,14 +151,6 @@
     return this.tryFollowAlternate(this.settings.host);
   }
 
-  private async tryRefreshView(waitMs: number): Promise<boolean> {
-    const sinceMs = this.system.getNow().monotonicMs - this.lastStoreCallMs;
-    if (sinceMs < MIN_WATCH_INTERVAL_MS)
-      await waitFor(this.system, MIN_WATCH_INTERVAL_MS - sinceMs);
-    this.lastStoreCallMs = this.system.getNow().monotonicMs;
-    return this.watcher.tryRefreshView(waitMs);
-  }
-
   private async watchRelay(host: HostName, address: Address): Promise<boolean> {
     this.setSource('relay', address);
     const startedAtMs = this.system.getNow().monotonicMs;
@@ -205,7 +194,7 @@
     this.isFollowingAlternate = false;
     this.setSource('store');
     while (!this.isStopped && this.system.getNow().monotonicMs < endMs)
-      if (!(await this.tryRefreshView(WATCH_WAIT_MS))) return;
+      if (!(await this.watcher.tryRefreshView(WATCH_WAIT_MS))) return;
   }
 
   /** Follows a random daemon with store contact for a limited time; returns false if none was found. */
