Show which configuration each daemon has in force, and since when

Ruled out: gossip of all generations by heartbeats, which each daemon would pay for at all times. One of an older version is told as not answering. Tests: survey with silent and older daemons; the table.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -34,7 +34,7 @@
   type OperatorFlags,
 } from './operator_client.js';
 import {formatReportPage} from './report_html.js';
-import {formatReport, formatStatus} from './tables.js';
+import {formatConfigurations, formatReport, formatStatus} from './tables.js';
 
 /** Version of the program. */
 export const VERSION = '0.1.0';
@@ -91,6 +91,7 @@
   apply: 1,
   get: 0,
   status: 0,
+  configurations: 0,
   explain: 2,
   drain: 1,
   fence: 1,
@@ -177,6 +178,17 @@
     (flags: OutputFlags) =>
       printAnswer(flags, client => client.call('GET', '/status'), formatStatus),
   );
+  addOperatorCommand(
+    program,
+    'configurations',
+    'Print which configuration each daemon has in force, and since when.',
+  ).action((flags: OutputFlags) =>
+    printAnswer(
+      flags,
+      client => client.call('GET', '/configurations'),
+      formatConfigurations,
+    ),
+  );
   addOperatorCommand(
     program,
     'explain <service> <key>',
--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -2,8 +2,10 @@
  * Formats responses of a daemon as plain-text tables.
  */
 import type {KindReport} from '@dottereldrift/daemon/burn_report.js';
+import type {SurveyRow} from '@dottereldrift/daemon/configuration_survey.js';
 import type {DaemonStatus} from '@dottereldrift/daemon/status.js';
 
+const MS_PER_SECOND = 1_000;
 const MS_PER_MINUTE = 60_000;
 
 /** Formats rows as a table in which the cells of each column are padded to the same width. */
@@ -62,6 +64,52 @@
   return `${formatTable(summary)}\n\n${formatTable([header, ...services])}`;
 }
 
+/**
+ * Formats the configurations that the daemons have in force: first how many daemons have which, then the daemons
+ * with the oldest configuration first, and those that did not answer before all.
+ */
+export function formatConfigurations(value: unknown): string {
+  const rows = [...(value as readonly SurveyRow[])].sort(
+    (a, b) => (a.state?.generation ?? -1) - (b.state?.generation ?? -1),
+  );
+  const counts = new Map<string, number>();
+  for (const {state} of rows) {
+    const name =
+      state === undefined ? 'no answer' : `generation ${state.generation}`;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  const summary = [...counts].map(([name, count]) => `${count} ${name}`);
+  const header = [
+    'host',
+    'data centre',
+    'generation',
+    'in force for',
+    'since the store answered',
+  ];
+  const cells = rows.map(({host, dataCentre, state, reason}) =>
+    state === undefined
+      ? [host, dataCentre, 'no answer', reason]
+      : [
+          host,
+          dataCentre,
+          String(state.generation),
+          formatSeconds(state.inForceMs),
+          formatSeconds(state.storeSilenceMs),
+        ],
+  );
+  const agreement =
+    counts.size === 1 ? 'All daemons agree' : 'The daemons do not agree';
+  const head = `${agreement}: ${summary.join(', ')}.`;
+  return `${head}\n\n${formatTable([header, ...cells])}`;
+}
+
+/** Formats a duration; JSON has null in place of an infinite one. */
+function formatSeconds(durationMs: number | null): string {
+  return durationMs === null || !Number.isFinite(durationMs)
+    ? 'unknown'
+    : `${(durationMs / MS_PER_SECOND).toFixed(1)} s`;
+}
+
 /** Formats the report on error budget burn, one row for each request kind and window. */
 export function formatReport(value: unknown): string {
   const reports = value as readonly KindReport[];
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,6 +24,7 @@
   StoreCallCounter,
 } from './control_counters.js';
 import {ConfigurationFollower} from './configuration_follower.js';
+import {ConfigurationSurvey} from './configuration_survey.js';
 import {Coordinator} from './coordinator.js';
 import type {DatagramChannel} from './datagram_channel.js';
 import {openListeners} from './daemon_listeners.js';
@@ -132,6 +133,7 @@
   private readonly requestLog: FailureLog;
   private readonly tally: RequestTally;
   private readonly status: StatusReader;
+  private readonly survey: ConfigurationSurvey;
   private readonly gaugeReporter: GaugeReporter;
   /** Defined only on a platform, whose configuration source it follows. */
   private readonly configuration: ConfigurationFollower | undefined;
@@ -314,6 +316,7 @@
       this.owner,
       () => this.readControlStatus(),
     );
+    this.survey = new ConfigurationSurvey(settings.host, this.view, peers);
     this.gaugeReporter = new GaugeReporter(
       system,
       this.metrics,
@@ -429,7 +432,7 @@
 
   protected async openListeners(): Promise<void> {
     const {settings, system, entry, owner, registry} = this;
-    const {store, view, takeover, status, report} = this;
+    const {store, view, takeover, status, report, survey} = this;
     const open = await openListeners({
       settings,
       system,
@@ -439,7 +442,7 @@
       platform: this.platform,
       isReady: () => this.isReady(),
       isLagging: waitedMs => this.isLagging(waitedMs),
-      operators: {store, view, takeover, status, report},
+      operators: {store, view, takeover, status, report, survey},
       peers: this.getPeerServiceDependencies(),
       observe: (exchange, result) => {
         this.observe(exchange, result);
@@ -465,6 +468,7 @@
       loadTracker: this.loadTracker,
       relay: this.viewReplication.relay,
       store: this.store,
+      survey: this.survey,
       system: this.system,
       getSelf: () => this.sessionManager.getMember(),
     };
--- a/packages/daemon/src/operator_listener.ts
+++ b/packages/daemon/src/operator_listener.ts
@@ -1,5 +1,5 @@
 /**
- * Routes for operators: status, key lookups, the manifest, drains and fencing.
+ * Routes for operators: status, configurations in force, key lookups, the manifest, drains and fencing.
  */
 import type {FastifyInstance, FastifyReply} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
@@ -13,6 +13,7 @@
 
 import {KeyVerifier} from './key_verifier.js';
 import type {BurnReport} from './burn_report.js';
+import type {ConfigurationSurvey} from './configuration_survey.js';
 import type {StatusReader} from './status.js';
 import {
   DRAIN_PREFIX,
@@ -28,6 +29,7 @@
   readonly takeover: Takeover;
   readonly status: StatusReader;
   readonly report: BurnReport;
+  readonly survey: ConfigurationSurvey;
 }
 
 const submissionSchema = z.strictObject({
@@ -59,6 +61,7 @@
   parts: OperatorDependencies,
 ): void {
   app.get('/status', () => parts.status.readStatus());
+  app.get('/configurations', () => parts.survey.askFleet());
   app.get('/report', () => parts.report.readReport());
   app.get<{Params: {readonly service: string; readonly key: string}}>(
     '/explain/:service/:key',
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -11,6 +11,7 @@
 import {parseMember} from '@dottereldrift/membership/session_record.js';
 import {PeerService} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
 
+import type {ConfigurationSurvey} from './configuration_survey.js';
 import {KeyVerifier} from './key_verifier.js';
 import {parseIdempotencyEntry} from './idempotency_entry_codec.js';
 import type {LoadTracker} from './load_tracker.js';
@@ -29,6 +30,7 @@
   readonly sliceReleaser: SliceReleaser;
   readonly loadTracker: LoadTracker;
   readonly relay: RelayServer;
+  readonly survey: Pick<ConfigurationSurvey, 'readOwnState'>;
   readonly store: Pick<PeerBackedStore, 'updateDirectly'>;
   readonly system: System;
   readonly getSelf: () => Member;
@@ -96,6 +98,10 @@
       parts.loadTracker.receiveReport(parseReport(request));
       return {};
     },
+    describeConfiguration: () => {
+      const {generation, ...times} = parts.survey.readOwnState();
+      return {generation: BigInt(generation), ...times};
+    },
     updateObject: async ({key, expectedVersion, value}) =>
       encodeUpdateResult(
         await parts.store.updateDirectly(key, Number(expectedVersion), value),
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -59,6 +59,7 @@
   private readonly drainVersions = new Map<HostName, number>();
   private accepted: AcceptedManifest | undefined;
   private acceptedVersion = 0;
+  private acceptedAtMs = -Infinity;
   private submitted: StoredObject | undefined;
   private status:
     {readonly value: ManifestStatus; readonly version: number} | undefined;
@@ -160,6 +161,11 @@
     return this.accepted;
   }
 
+  /** Returns the milliseconds for which the present configuration has been in force; infinite without one. */
+  getManifestAgeMs(): number {
+    return this.system.getNow().monotonicMs - this.acceptedAtMs;
+  }
+
   getAcceptedVersion(): number {
     return this.acceptedVersion;
   }
@@ -328,10 +334,13 @@
       this.liveSessions = undefined;
       this.drainVersions.set(key.slice(DRAIN_PREFIX.length), version);
     } else if (key === ACCEPTED_MANIFEST_KEY) {
-      this.accepted = chooseNewer(
+      const newest = chooseNewer(
         this.accepted,
         parseJson<AcceptedManifest>(value),
       );
+      if (newest.generation !== this.accepted?.generation)
+        this.acceptedAtMs = this.system.getNow().monotonicMs;
+      this.accepted = newest;
       this.acceptedVersion = Math.max(this.acceptedVersion, version);
     } else if (key === SUBMITTED_MANIFEST_KEY) {
       this.submitted = object;
