Read an object again after an error while it was applied

Ruled out: a reject of the store's client, which returns failures. Change: the key is freed in every case, the error is logged.

--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -3,6 +3,7 @@
  */
 import * as E from 'fp-ts/lib/Either.js';
 
+import {getErrorText} from '@dottereldrift/core/errors.js';
 import type {Log} from '@dottereldrift/core/log.js';
 import type {
   ObjectChange,
@@ -50,9 +51,16 @@
   refreshObject(key: string): Promise<void> {
     const existing = this.inFlight.get(key);
     if (existing !== undefined) return existing;
-    const pendingRead = this.tryReadObject(key).then(() => {
-      this.inFlight.delete(key);
-    });
+    const pendingRead = this.tryReadObject(key)
+      .catch((error: unknown) => {
+        this.log.writeError('Failed to apply an object that was read again.', {
+          key,
+          reason: getErrorText(error),
+        });
+      })
+      .finally(() => {
+        this.inFlight.delete(key);
+      });
     this.inFlight.set(key, pendingRead);
     return pendingRead;
   }
--- a/packages/daemon/test/session_manager.test.ts
+++ b/packages/daemon/test/session_manager.test.ts
@@ -351,3 +351,34 @@
   await bench.waitFor(1_000);
   t.true(reads > 0, 'a new member is considered');
 });
+
+test('a restarted daemon that was given an old list still learns what its previous process wrote last', async t => {
+  const bench = new Bench();
+  const version = await bench.writePreviousSession();
+  await bench.watcher.tryRefreshView(0);
+  const address = {ip: '127.0.0.1', port: 9};
+  const departed = {
+    service: SERVICE,
+    address,
+    slots: 6,
+    connections: 10,
+    isLeaving: true,
+  };
+  const value = encodeSession({
+    ...LOCATION,
+    member: PREVIOUS,
+    witnesses: [PREVIOUS],
+    servers: [departed],
+    isEnded: false,
+    isLeaving: false,
+  });
+  const key = getSessionKey(PREVIOUS.host);
+  await bench.store.updateObject(key, version, value)();
+  void bench.manager.run();
+  await bench.waitFor(1_000);
+  t.like(bench.manager.getPreviousServers()[0], {
+    service: SERVICE,
+    isLeaving: true,
+  });
+  t.deepEqual(bench.manager.getSession()?.follows, [PREVIOUS.incarnation]);
+});
