Derive the mean capacity of owners from those that are present

A test shows the mean of 20 and 200 where only the host with 20 is left. Ruled out: removing them when capacities are read, which the log does for fewer hosts. Change: the mean of the given owners; the planner removes hosts that cannot own slices.

--- a/packages/daemon/src/load_tracker.ts
+++ b/packages/daemon/src/load_tracker.ts
@@ -87,17 +87,24 @@
     owners: readonly Member[],
   ): ReadonlyMap<HostName, number> | undefined {
     const known = this.services.get(service)?.capacities;
-    if (known === undefined || known.size === 0) return undefined;
-    const sum = [...known.values()].reduce(
-      (total, capacity) => total + capacity,
-      0,
-    );
-    const mean = sum / known.size;
+    const present = owners.flatMap(({host}) => known?.get(host) ?? []);
+    if (known === undefined || present.length === 0) return undefined;
+    const sum = present.reduce((total, capacity) => total + capacity, 0);
+    const mean = sum / present.length;
     const capacities = new Map<HostName, number>();
     for (const {host} of owners) capacities.set(host, known.get(host) ?? mean);
     return capacities;
   }
 
+  /** Removes what is known of owners on hosts that can no longer own slices of a service. */
+  removeAbsentHosts(service: ServiceName, eligible: readonly Member[]): void {
+    const load = this.services.get(service);
+    if (load === undefined) return;
+    const hosts = new Set(eligible.map(({host}) => host));
+    for (const host of load.capacities.keys())
+      if (!hosts.has(host)) load.capacities.delete(host);
+  }
+
   /** Returns the most recently computed profile of a service, for log output. */
   getProfile(service: ServiceName): LoadProfile {
     return this.services.get(service)?.profile ?? EMPTY_PROFILE;
--- a/packages/daemon/src/placement_planner.ts
+++ b/packages/daemon/src/placement_planner.ts
@@ -129,6 +129,7 @@
 
   /** Returns the capacity of each eligible host: measured if known, otherwise estimated from its slots. */
   private getCapacities(input: PlannerInput): ReadonlyMap<HostName, number> {
+    this.loads.removeAbsentHosts(input.service, input.eligible);
     const capacities = this.loads.getCapacities(input.service, input.eligible);
     if (capacities !== undefined) return capacities;
     const estimated = new Map<HostName, number>();
--- a/packages/daemon/test/load_tracker.test.ts
+++ b/packages/daemon/test/load_tracker.test.ts
@@ -72,6 +72,23 @@
   t.deepEqual(rates, [5, 5, 15, 15]);
 });
 
+test('the mean capacity is that of the present owners, not of hosts that left', t => {
+  const loads = new LoadTracker(new ManualSystem(), REPORT_MS);
+  const left = {host: 'h3', incarnation: 'a'};
+  loads.receiveReport({...createReport(FIRST, 10), capacity: 20});
+  loads.receiveReport({...createReport(left, 10), capacity: 200});
+  const owners = [FIRST, SECOND];
+  const expected = new Map([
+    [FIRST.host, 20],
+    [SECOND.host, 20],
+  ]);
+  t.deepEqual(loads.getCapacities('menu', owners), expected);
+  loads.removeAbsentHosts('menu', owners);
+  // A host that returns is measured anew.
+  const returned = loads.getCapacities('menu', [FIRST, left]);
+  t.is(returned?.get(left.host), 20);
+});
+
 test('an owner that does not report counts as having no load after the time limit', t => {
   const system = new ManualSystem();
   const loads = new LoadTracker(system, REPORT_MS);
