Let a restarted witness vote for the process that it has replaced

Change: a daemon that finds its predecessor's session at its own address has replaced that process; after the time of a lease it votes and starts takeovers in its place.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -205,6 +205,7 @@
     this.witnessService = new WitnessService(
       system,
       getSelf,
+      () => this.sessionManager.getReplaced(),
       this.view,
       this.channel,
       this.takeover,
--- a/packages/daemon/src/session_manager.ts
+++ b/packages/daemon/src/session_manager.ts
@@ -49,6 +49,7 @@
   Session,
   VersionedSession,
 } from '@dottereldrift/membership/types.js';
+import type {ReplacedProcesses} from '@dottereldrift/membership/witness.js';
 import {
   chooseWitnesses,
   isSameSet,
@@ -120,6 +121,7 @@
   private follows: readonly Incarnation[] = [];
   private previousServers: readonly ServerInfo[] = [];
   private isSessionAdopted = false;
+  private replaced: ReplacedProcesses | undefined;
   private isFirstMember = true;
   /** Version of this process's first session that came into force. */
   private joinedVersion = Infinity;
@@ -178,6 +180,11 @@
     return this.view.isComplete(this.joinedVersion);
   }
 
+  /** Returns the earlier processes that this one has replaced; undefined until one is known. */
+  getReplaced(): ReplacedProcesses | undefined {
+    return this.replaced;
+  }
+
   /** Returns the servers listed in the session of the previous daemon process. */
   getPreviousServers(): readonly ServerInfo[] {
     return this.previousServers;
@@ -377,13 +384,14 @@
     if (!isDue || found === undefined) return;
     const {member, peerAddress, follows = [], isEnded} = found.session;
     if (isSameMember(member, this.member)) return;
+    const {ip, port} = this.identity.peerAddress;
+    const isOwnHost = peerAddress.ip === ip && peerAddress.port === port;
+    if (isOwnHost) this.recordReplaced([member.incarnation, ...follows]);
     if (isEnded) {
       // The session was ended while this process started, after its grants had expired.
       this.isSessionAdopted = false;
       return;
     }
-    const {ip, port} = this.identity.peerAddress;
-    const isOwnHost = peerAddress.ip === ip && peerAddress.port === port;
     if (!isOwnHost) return;
     // A longer chain is ended the slow way, which waits until its grants have expired.
     if (follows.length >= MAX_FOLLOWED_INCARNATIONS) return;
@@ -395,6 +403,15 @@
     this.servers = found.session.servers;
   }
 
+  private recordReplaced(incarnations: readonly Incarnation[]): void {
+    const known = this.replaced?.incarnations ?? [];
+    if (incarnations.every(incarnation => known.includes(incarnation))) return;
+    this.replaced = {
+      incarnations: [...new Set([...incarnations, ...known])],
+      endedAt: this.system.getNow(),
+    };
+  }
+
   private chooseWitnesses(): readonly Member[] {
     const present = this.getSession();
     const nowMs = this.system.getNow().monotonicMs;
--- a/packages/daemon/src/takeover.ts
+++ b/packages/daemon/src/takeover.ts
@@ -103,7 +103,7 @@
   }
 
   private async askForVote(target: Member, witness: Member): Promise<boolean> {
-    if (isSameMember(witness, this.getSelf()))
+    if (witness.host === this.getSelf().host)
       return this.voteLocally(target, witness);
     const address = this.getAddress(witness);
     if (address === undefined) return false;
--- a/packages/daemon/src/witness_service.ts
+++ b/packages/daemon/src/witness_service.ts
@@ -12,7 +12,9 @@
   applyEnd,
   applyFence,
   applyHeartbeat,
+  hasLapsedWith,
   isLapsed,
+  type ReplacedProcesses,
   type WitnessState,
 } from '@dottereldrift/membership/witness.js';
 
@@ -46,13 +48,15 @@
   private witnessed: {
     readonly live: readonly Session[];
     readonly self: Member | undefined;
+    readonly replaced: ReplacedProcesses | undefined;
     readonly sessions: readonly WitnessedSession[];
-  } = {live: [], self: undefined, sessions: []};
+  } = {live: [], self: undefined, replaced: undefined, sessions: []};
   private isStopped = false;
 
   constructor(
     private readonly system: System,
     private readonly getSelf: () => Member,
+    private readonly getReplaced: () => ReplacedProcesses | undefined,
     private readonly view: StoreView,
     private readonly channel: DatagramChannel,
     private readonly takeover: Takeover,
@@ -74,9 +78,20 @@
     });
   }
 
-  /** Votes on fencing a member; rejects requests addressed to another incarnation of this host. */
+  /**
+   * Votes on fencing a member. Of requests addressed to another incarnation of this host, grants only those to a
+   * process that this one has replaced, after the time of a lease.
+   */
   voteOnFence(target: Member, asked: Member): boolean {
-    if (!isSameMember(asked, this.getSelf())) return false;
+    const self = this.getSelf();
+    if (!isSameMember(asked, self)) {
+      const now = this.system.getNow();
+      const {incarnation, host} = asked;
+      return (
+        host === self.host &&
+        hasLapsedWith(this.getReplaced(), incarnation, now)
+      );
+    }
     const step = applyFence(this.state, target, this.system.getNow());
     this.state = step.state;
     return step.isGranted;
@@ -133,20 +148,31 @@
     }
   }
 
-  /** Lists the sessions that name this member as a witness, with its rank among their witnesses. */
+  /**
+   * Lists the sessions that name this member, or a process that it has replaced, as a witness, with its rank among
+   * their witnesses.
+   */
   private listWitnessed(): readonly WitnessedSession[] {
     const live = this.view.getLiveSessions();
     const self = this.getSelf();
-    if (this.witnessed.live === live && this.witnessed.self === self)
-      return this.witnessed.sessions;
+    const replaced = this.getReplaced();
+    const {witnessed} = this;
+    if (
+      witnessed.live === live &&
+      witnessed.self === self &&
+      witnessed.replaced === replaced
+    )
+      return witnessed.sessions;
+    const isOwn = ({host, incarnation}: Member) =>
+      host === self.host &&
+      (incarnation === self.incarnation ||
+        replaced?.incarnations.includes(incarnation) === true);
     const sessions = live.flatMap(session => {
-      const rank = session.witnesses.findIndex(other =>
-        isSameMember(other, self),
-      );
+      const rank = session.witnesses.findIndex(isOwn);
       const isWitnessed = rank >= 0 && !isSameMember(session.member, self);
       return isWitnessed ? [{session, rank}] : [];
     });
-    this.witnessed = {live, self, sessions};
+    this.witnessed = {live, self, replaced, sessions};
     return sessions;
   }
 
--- a/packages/membership/src/witness.ts
+++ b/packages/membership/src/witness.ts
@@ -2,9 +2,11 @@
  * Implements the witness's side of leases as a pure state machine.
  *
  * A witness keeps its state in memory only. After a restart it is a new member that no session names yet, so
- * neither renewals nor votes that it has lost are counted under its new incarnation.
+ * neither renewals nor votes that it has lost are counted under its new incarnation. But it knows that the process
+ * which it has replaced renews no lease any more, and votes in its place once every lease that it may have renewed
+ * has lapsed. Otherwise a member that is lost together with a majority of its witnesses could never be ended.
  */
-import type {Instant, Member} from '@dottereldrift/core/types.js';
+import type {Incarnation, Instant, Member} from '@dottereldrift/core/types.js';
 
 import {DRIFT_MARGIN_MS, LEASE_DURATION_MS} from './constants.js';
 
@@ -19,6 +21,13 @@
 /** State of a witness: member records by host and incarnation. */
 export type WitnessState = ReadonlyMap<string, WitnessRecord>;
 
+/** Earlier processes on this host that listened on the address that this process has bound, so they have ended. */
+export interface ReplacedProcesses {
+  readonly incarnations: readonly Incarnation[];
+  /** A time at which all of them had ended. */
+  readonly endedAt: Instant;
+}
+
 /** A new state and the answer to send. */
 export interface WitnessStep {
   readonly state: WitnessState;
@@ -63,6 +72,18 @@
   return new Map(state).set(getKey(member), next);
 }
 
+/** Returns whether a witness has been replaced for so long that every lease renewed by it has lapsed. */
+export function hasLapsedWith(
+  replaced: ReplacedProcesses | undefined,
+  witness: Incarnation,
+  now: Instant,
+): boolean {
+  return (
+    replaced?.incarnations.includes(witness) === true &&
+    isLapsed(replaced.endedAt, now)
+  );
+}
+
 /** Returns whether a lease renewed at `heardAt` has lapsed by the witness's monotonic clock. */
 export function isLapsed(heardAt: Instant, now: Instant): boolean {
   return (
--- a/packages/membership/test/lease_model.test.ts
+++ b/packages/membership/test/lease_model.test.ts
@@ -127,6 +127,7 @@
   ['witness-waits-for-holder', DELAY_BOUNDS],
   ['fence-is-final', DELAY_BOUNDS],
   ['votes-of-named-incarnation', DELAY_BOUNDS],
+  ['replaced-witness-waits', DELAY_BOUNDS],
   ['count-from-send', DELAY_BOUNDS],
   ['monotonic-clock', CLOCK_BOUNDS],
   ['wall-clock', CLOCK_BOUNDS],
--- a/packages/membership/test/lease_model.ts
+++ b/packages/membership/test/lease_model.ts
@@ -32,6 +32,7 @@
 import {
   applyFence,
   applyHeartbeat,
+  hasLapsedWith,
   type WitnessRecord,
   type WitnessState,
 } from '../src/witness.js';
@@ -43,6 +44,7 @@
   | 'witness-waits-for-holder'
   | 'fence-is-final'
   | 'votes-of-named-incarnation'
+  | 'replaced-witness-waits'
   | 'count-from-send'
   | 'monotonic-clock'
   | 'wall-clock'
@@ -68,6 +70,8 @@
 
 interface ModelWitness {
   readonly incarnation: string;
+  /** When the process with the first incarnation was replaced. */
+  readonly replacedAt: Instant | undefined;
   readonly state: WitnessState;
   /** True once the witness has voted; the vote counts whatever the witness does later. */
   readonly hasVoted: boolean;
@@ -143,7 +147,12 @@
     witnesses: new Map(
       names.map(name => [
         name,
-        {incarnation: '0', state: new Map(), hasVoted: false},
+        {
+          incarnation: '0',
+          replacedAt: undefined,
+          state: new Map(),
+          hasVoted: false,
+        },
       ]),
     ),
     stored,
@@ -227,7 +236,7 @@
   const records = [...(witness?.state.values() ?? [])].map(record =>
     record.isFenced ? 'F' : (record.heardAt?.monotonicMs ?? ''),
   );
-  return `${answers.join()}/${witness?.incarnation}${records.join()}${witness?.hasVoted === true ? 'v' : ''}`;
+  return `${answers.join()}/${witness?.incarnation}${formatInstant(witness?.replacedAt)}${records.join()}${witness?.hasVoted === true ? 'v' : ''}`;
 }
 
 function formatInstant(at: Instant | undefined): string {
@@ -341,7 +350,17 @@
   const witnesses = [...modelState.witnesses].map(
     ([name, witness]): [string, ModelWitness] => [
       name,
-      {...witness, state: shiftRecords(witness.state, tickMs)},
+      {
+        ...witness,
+        state: shiftRecords(witness.state, tickMs),
+        replacedAt:
+          witness.replacedAt &&
+          shiftInstant(
+            witness.replacedAt,
+            {monotonicMs: tickMs, wallMs: tickMs},
+            WITNESS_AGE_LIMIT_MS,
+          ),
+      },
     ],
   );
   const messages = modelState.messages.map(message => ({
@@ -670,6 +689,8 @@
   const model = getWitness(modelState, witness);
   if (model.hasVoted) return undefined;
   const isNamed = model.incarnation === witness.incarnation;
+  if (!isNamed && mayVoteForReplaced(model, witness, bounds))
+    return putWitness(modelState, witness, {...model, hasVoted: true});
   if (!isNamed && !bounds.disabledRules.has('votes-of-named-incarnation'))
     return undefined;
   const earlyMs = bounds.disabledRules.has('witness-waits-for-holder')
@@ -682,6 +703,18 @@
   return putWitness(modelState, witness, voted);
 }
 
+/** Returns whether a restarted witness votes in place of the process that it has replaced. */
+function mayVoteForReplaced(
+  {replacedAt}: ModelWitness,
+  {incarnation}: Member,
+  bounds: ModelBounds,
+): boolean {
+  if (replacedAt === undefined) return false;
+  if (bounds.disabledRules.has('replaced-witness-waits')) return true;
+  const replaced = {incarnations: [incarnation], endedAt: replacedAt};
+  return hasLapsedWith(replaced, incarnation, NOW);
+}
+
 function tryEnd(
   modelState: ModelState,
   read: VersionedSession,
@@ -701,7 +734,12 @@
   if (modelState.restartsLeft === 0) return [];
   return [A, B, C, D].map(witness => {
     const {hasVoted} = getWitness(modelState, witness);
-    const restarted = {incarnation: '1', state: new Map(), hasVoted};
+    const restarted = {
+      incarnation: '1',
+      replacedAt: NOW,
+      state: new Map(),
+      hasVoted,
+    };
     return {
       name: `${witness.host} restarts`,
       next: () => ({
--- a/packages/membership/test/witness.test.ts
+++ b/packages/membership/test/witness.test.ts
@@ -4,7 +4,12 @@
 import test from 'ava';
 
 import {DRIFT_MARGIN_MS, LEASE_DURATION_MS} from '../src/constants.js';
-import {applyEnd, applyFence, applyHeartbeat} from '../src/witness.js';
+import {
+  applyEnd,
+  applyFence,
+  applyHeartbeat,
+  hasLapsedWith,
+} from '../src/witness.js';
 
 const MEMBER = {host: 'h0', incarnation: 'a'};
 
@@ -30,3 +35,14 @@
   const next = {...MEMBER, incarnation: 'b'};
   t.true(applyHeartbeat(ended, next, muchLater).isGranted);
 });
+
+test('a restarted witness speaks for the process that it replaced once all leases renewed by that one have lapsed', t => {
+  const replaced = {incarnations: ['b', 'a'], endedAt: createInstant(0)};
+  const lapseMs = LEASE_DURATION_MS + DRIFT_MARGIN_MS;
+  for (const incarnation of replaced.incarnations) {
+    t.false(hasLapsedWith(replaced, incarnation, createInstant(lapseMs)));
+    t.true(hasLapsedWith(replaced, incarnation, createInstant(lapseMs + 1)));
+  }
+  t.false(hasLapsedWith(replaced, 'c', createInstant(lapseMs + 1)));
+  t.false(hasLapsedWith(undefined, 'a', createInstant(lapseMs + 1)));
+});
--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -23,6 +23,9 @@
   'hot-keys-change',
 ];
 
+/** Time within which every key must have a server after the last fault, as for the users' deployments. */
+const MAX_UNAVAILABLE_MS = 5_000;
+
 async function countViolations(
   seeds: readonly number[],
   options: Omit<SoakOptions, 'seed'>,
@@ -40,6 +43,14 @@
   }
 });
 
+test('keys are served again although a host was lost together with a majority of its witnesses', async t => {
+  for (const seed of [3, 500_011, 500_014, 500_024]) {
+    const {violations, unavailableMs} = await runSoak({seed});
+    t.deepEqual(violations, [], `seed ${seed}`);
+    t.true(unavailableMs < MAX_UNAVAILABLE_MS, `${seed}: ${unavailableMs} ms`);
+  }
+});
+
 test('a coordinator with a stale view of the store does not treat a restarted member as ended', async t => {
   const kinds: readonly FaultKind[] = [
     'store-cut',
