Use the answer to a read that a daemon began as a follower; tell failed updates through others as such

A daemon that became a reader of the store while it read the configuration dropped the answer and read once more; a test shows it (generation 1 in place of 2). The log said of each update that was tried through another daemon that it was made. The table of configurations called it agreement if nobody answered. Ruled out: the same for watches, whose answer is dropped on purpose. Change: only a watch can be ended early; two sentences in the log; wording of the table's first line.

--- a/packages/cli/src/tables.ts
+++ b/packages/cli/src/tables.ts
@@ -75,7 +75,9 @@
   const counts = new Map<string, number>();
   for (const {state} of rows) {
     const name =
-      state === undefined ? 'no answer' : `generation ${state.generation}`;
+      state === undefined
+        ? 'without an answer'
+        : `with generation ${state.generation}`;
     counts.set(name, (counts.get(name) ?? 0) + 1);
   }
   const summary = [...counts].map(([name, count]) => `${count} ${name}`);
@@ -97,8 +99,9 @@
           formatSeconds(state.storeSilenceMs),
         ],
   );
-  const agreement =
-    counts.size === 1 ? 'All daemons agree' : 'The daemons do not agree';
+  const isAgreed =
+    counts.size === 1 && rows.every(({state}) => state !== undefined);
+  const agreement = isAgreed ? 'All daemons agree' : 'The daemons do not agree';
   const head = `${agreement}: ${summary.join(', ')}.`;
   return `${head}\n\n${formatTable([header, ...cells])}`;
 }
--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -183,7 +183,8 @@
     const mustRead = knownRevision === undefined || this.hasLastCallFailed;
     const mode = mustRead ? this.getReadMode() : this.getMode();
     const controller = new AbortController();
-    if (mode === FOLLOWER_MODE) this.cancelWatch = () => controller.abort();
+    if (!mustRead && mode === FOLLOWER_MODE)
+      this.cancelWatch = () => controller.abort();
     const answer = mustRead
       ? await this.source.readConfiguration(mode.consistency)()
       : await this.source.watchConfiguration(
--- a/packages/daemon/src/peer_backed_store.ts
+++ b/packages/daemon/src/peer_backed_store.ts
@@ -33,6 +33,7 @@
 /** Time after a refused update during which the store is not asked directly; doubles with each further one. */
 const FIRST_PAUSE_MS = 1_000;
 const MAX_PAUSE_MS = 8_000;
+const PAUSED_REASON = 'it has just refused another update';
 /** Number of daemons that are asked to make one update. */
 const MAX_HELPERS = 2;
 
@@ -120,7 +121,8 @@
     value: Uint8Array,
   ): Promise<UpdateResult> {
     const nowMs = this.system.getNow().monotonicMs;
-    if (nowMs < this.pausedUntilMs) return E.left(createUnavailable('paused'));
+    if (nowMs < this.pausedUntilMs)
+      return E.left(createUnavailable(PAUSED_REASON));
     const update = this.direct.updateObject(key, expectedVersion, value);
     const result = await update();
     if (E.isLeft(result) && isUnreachable(result.left)) this.pause();
@@ -148,14 +150,30 @@
       });
       if (E.isRight(result) || result.left.kind !== 'unavailable') break;
     }
-    this.log.writeInfo('An object was updated through another daemon.', {
-      key,
-      expectedVersion,
-      outcome: E.isRight(result) ? 'written' : result.left.kind,
-    });
+    this.recordUpdate(key, expectedVersion, result);
     return result;
   }
 
+  private recordUpdate(
+    key: string,
+    expectedVersion: ObjectVersion,
+    result: UpdateResult,
+  ): void {
+    if (E.isRight(result))
+      this.log.writeInfo('An object was updated through another daemon.', {
+        key,
+        expectedVersion,
+        version: result.right,
+      });
+    else
+      this.log.writeInfo('Failed to update an object through other daemons.', {
+        key,
+        expectedVersion,
+        kind: result.left.kind,
+        reason: result.left.text,
+      });
+  }
+
   private async updateThroughPeer(
     address: Address,
     request: {key: string; expectedVersion: bigint; value: Uint8Array},
--- a/packages/daemon/test/configuration_follower.test.ts
+++ b/packages/daemon/test/configuration_follower.test.ts
@@ -169,6 +169,20 @@
   t.true((fixture.waitsMs[1] ?? Infinity) <= 8_000);
 });
 
+test('the answer to a read is used although the daemon has become a reader of the store meanwhile', async t => {
+  const fixture = new Fixture();
+  fixture.isStoreReader = false;
+  await fixture.answerLast(createAnswer(1));
+  await fixture.answerLast(E.left(UNAVAILABLE));
+  fixture.system.shift(500);
+  await fixture.waitForPromises();
+  t.deepEqual(fixture.calls, ['read', 'watch', 'read']);
+  fixture.isStoreReader = true;
+  fixture.follower.startReading();
+  await fixture.answerLast(createAnswer(2));
+  t.is(fixture.generation, 2);
+});
+
 test('a daemon that follows another one retries seldom while the store is down', async t => {
   const fixture = new Fixture();
   fixture.isStoreReader = false;
