--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -189,6 +189,45 @@
     return this.machines;
   }
 
+  /** Removes a machine for good: its daemon and its server end without notice. */
+  removeMachine(machine) {
+    machine.isGone = true;
+    machine.daemon.kill('SIGKILL');
+    machine.server.stop();
+    this.recorder.add('machine-removed', {machine: machine.name});
+  }
+
+  /** Adds an empty machine with the roles of another, at a new address. */
+  async addReplacement(old, index) {
+    const ip = `127.0.0.${60 + index}`;
+    const {service, workMs} = old.server;
+    const server = new AppServer({service, workMs, record: this.recorder.add});
+    server.zone = old.server.zone;
+    const address = await server.start(ip);
+    const settings = JSON.parse(
+      JSON.stringify(old.settings)
+        .replaceAll(`"${old.ip}:`, `"${ip}:`)
+        .replaceAll(`"${old.ip}"`, `"${ip}"`),
+    );
+    settings.node = `${old.name}-new`;
+    settings.app_addr = address;
+    const {outbound, ready, control} = settings.listen;
+    const machine = {
+      name: settings.node,
+      ip,
+      service,
+      server,
+      outbound,
+      ready,
+      control,
+      settings,
+    };
+    this.machines.push(machine);
+    this.startDaemon(machine);
+    server.startBeats(control);
+    return machine;
+  }
+
   startDaemon(machine) {
     const file = path.join(this.#folder, `${machine.name}.json`);
     writeFileSync(file, JSON.stringify(machine.settings));
