Send a request at most once on a connection, so that a late duplicate of a refusal is not taken for its response

Cause: a response was matched to a sending by its Request-Id on its connection. After a refusal the entry sends the request again with the same id, and the pool mostly gave it the connection on which it had just been refused. A second copy of the first refusal, late, was then the next response on that connection and passed for the response to the second sending, which the server had begun to run. All refusals are alike in this (503, 429, 421, 400), and it is the same whether the sendings come from the entry of this daemon or from another one: both meet at the pool of the server. A refusal that names no request was believed too, so its late duplicate could pass for the response to any request.

Ruled out: the hop between daemons. A daemon sends one response to a request, and ends the connection after the only unsolicited one (the refusal at a close); no daemon sends a duplicate. Closing each connection after a refusal was not chosen: a server that sheds half of its requests would get a new connection, which may hold a slot, for each of them.

A refusal without an identifier is believed, and its connection is closed. A failure of a server without an identifier belongs to no request.

--- a/packages/bench/src/routed_daemon_main.ts
+++ b/packages/bench/src/routed_daemon_main.ts
@@ -37,6 +37,7 @@
     'deadline-ms': String(remainingMs),
   }),
   isServerRefusal: () => false,
+  isIdentified: () => true,
   isForeignAnswer: () => false,
   createProblemHead: ({status}) => ({status, headers: {}}),
 };
--- a/packages/daemon/src/caller_protocol.ts
+++ b/packages/daemon/src/caller_protocol.ts
@@ -43,6 +43,8 @@
   createServerHeaders(request: ServerRequest): Record<string, string>;
   /** Returns whether a backend server's response means that it did not run the request. */
   isServerRefusal(status: number, headers: HeaderMap): boolean;
+  /** Returns whether a response names the request that it belongs to. */
+  isIdentified(headers: HeaderMap): boolean;
   /** Returns whether a response cannot belong to the given request of this server. */
   isForeignAnswer(
     status: number,
--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -59,6 +59,11 @@
   ) => AttemptFailure | undefined;
   /** Tells from the head of a response that it belongs to another request; its connection is then closed. */
   readonly isForeignAnswer?: (status: number, headers: HeaderMap) => boolean;
+  /**
+   * Tells from the head of a refusal whether it names its request. A refusal that does not is believed, but its
+   * connection is closed, because a duplicate of it could pass for the response to another request.
+   */
+  readonly isIdentified?: (headers: HeaderMap) => boolean;
   /** Whether the body of a response may be delimited by the end of the connection. */
   readonly mayEndWithConnection?: boolean;
   /** Headers added to the response. */
@@ -153,7 +158,11 @@
     this.failure =
       this.attempt.readFailure(status, headers) ??
       this.findFramingFailure(status, headers);
-    if (this.failure !== undefined) return;
+    if (this.failure !== undefined) {
+      if (this.attempt.isIdentified?.(headers) === false)
+        controller.abort(new Error(this.failure.code));
+      return;
+    }
     const passed = Object.assign(
       filterHeaders(headers),
       this.attempt.answerHeaders,
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -362,7 +362,7 @@
     const remainingMs = exchange.deadlineAtMs - nowMs;
     const {routed} = exchange;
     return sendAttempt(this.system, {
-      dispatcher: server.pool,
+      dispatcher: server.connections.takePool(routed?.requestId ?? ''),
       peerName: `the backend server of ${service}`,
       method: exchange.method,
       path: exchange.target.path,
--- a/packages/daemon/src/protocol_options.ts
+++ b/packages/daemon/src/protocol_options.ts
@@ -27,6 +27,7 @@
   | 'answerHeaders'
   | 'maxKeptBytes'
   | 'isForeignAnswer'
+  | 'isIdentified'
   | 'mayEndWithConnection'
 >;
 
@@ -52,6 +53,7 @@
     ),
     isForeignAnswer: (status, headers) =>
       protocol.isForeignAnswer(status, headers, requestId),
+    isIdentified: headers => protocol.isIdentified(headers),
     mayEndWithConnection: true,
     readFailure: (status, headers) =>
       protocol.isServerRefusal(status, headers)
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -2,7 +2,6 @@
  * Tracks the backend servers on this host: what they announced, whether they are alive, and the
  * grants that they hold.
  */
-import type {Dispatcher} from 'undici';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
@@ -23,6 +22,7 @@
 import {HeartbeatLongPoll} from './heartbeat_long_poll.js';
 import {GrantSender} from './grant_sender.js';
 import {ServerDepartures} from './server_departures.js';
+import {ServerConnections} from './server_connections.js';
 import {createServerPool} from './server_pool.js';
 import {
   type LocalServer,
@@ -129,7 +129,7 @@
       info: announced,
       lastSeenMs,
       leavingSinceMs: this.findLeavingSince(announced, lastSeenMs),
-      pool: this.createPool(announced),
+      connections: new ServerConnections(() => this.createPool(announced)),
       policy: this.createPolicy(announced.service, announced.slots),
       instanceId,
     });
@@ -474,7 +474,7 @@
     if (!this.mayHoldGrants(service)) return false;
     const entry = this.entries.get(service);
     if (entry === undefined || !this.isSoleGrantHolder(service)) return false;
-    return tracker.tryConfirm(entry.pool);
+    return tracker.tryConfirm(entry.connections.getPool());
   }
 
   /** Waits until no server on this host can start a request under a grant that it was sent. */
@@ -497,7 +497,7 @@
     if (this.isRevoking) return;
     for (const [service, entry] of this.entries) {
       if (this.isFencingChecked(service) && this.isSoleGrantHolder(service))
-        void this.getGrantTracker(service).send(entry.pool);
+        void this.getGrantTracker(service).send(entry.connections.getPool());
     }
   }
 
@@ -520,7 +520,7 @@
   async stop(): Promise<void> {
     this.isStopped = true;
     await Promise.all(
-      [...this.entries.values()].map(entry => entry.pool.destroy()),
+      [...this.entries.values()].map(entry => entry.connections.destroy()),
     );
   }
 
@@ -563,13 +563,14 @@
     if (isCompared) this.lastInfos.set(service, entry.info);
     this.getGrantTracker(service).reset();
     entry.policy.refuseAll('DD3024');
-    if (this.options.isGrantingByHeartbeat) void this.endPool(entry.pool);
-    else void entry.pool.destroy();
+    if (this.options.isGrantingByHeartbeat)
+      void this.endConnections(entry.connections);
+    else void entry.connections.destroy();
   }
 
   /** Lets running requests finish: a server whose heartbeats are late may still answer them. */
-  private async endPool(pool: Dispatcher): Promise<void> {
-    await pool.close();
+  private async endConnections(connections: ServerConnections): Promise<void> {
+    await connections.close();
   }
 
   /**
--- a/packages/daemon/src/server_types.ts
+++ b/packages/daemon/src/server_types.ts
@@ -9,12 +9,13 @@
 import type {Assignment, Slice} from '@dottereldrift/ownership/types.js';
 
 import type {KeyReport} from './heartbeat_grants.js';
+import type {ServerConnections} from './server_connections.js';
 import type {SessionManager} from './session_manager.js';
 
 /** A backend server on this host. */
 export interface LocalServer {
   readonly info: ServerInfo;
-  readonly pool: Dispatcher;
+  readonly connections: ServerConnections;
   readonly policy: SlotPolicy;
   /** Identifier that the server reports for itself; undefined where servers do not report one. */
   readonly instanceId?: string | undefined;
@@ -68,7 +69,7 @@
 /** Creates the policy that allocates the slots of a server. */
 export type PolicyFactory = (service: ServiceName, slots: number) => SlotPolicy;
 
-/** Opens the connection pool of a server. */
+/** Opens a connection pool of a server. */
 export type ServerPoolFactory = (info: ServerInfo) => Dispatcher;
 
 /**
--- a/packages/daemon/test/endless_answer.test.ts
+++ b/packages/daemon/test/endless_answer.test.ts
@@ -26,6 +26,7 @@
 import type {AttemptResult, RoutedRequest} from '../src/exchange.js';
 import {MAX_UNDRAINED_BYTES} from '../src/http_attempt.js';
 import {Owner} from '../src/owner.js';
+import {ServerConnections} from '../src/server_connections.js';
 import {createServerPool} from '../src/server_pool.js';
 import {createLimits, ManualSystem, RecordingSink} from './fakes.js';
 
@@ -130,6 +131,7 @@
   parseRequest: () => ({requestId: 'a', deadlineMs: 800, key: undefined}),
   createServerHeaders: () => ({}),
   isServerRefusal: () => false,
+  isIdentified: () => true,
   isForeignAnswer: () => false,
   createProblemHead: () => ({status: 503, headers: {}}),
 };
@@ -154,13 +156,14 @@
     connections: 4,
     isLeaving: false,
   };
+  const connections = new ServerConnections(() => pool);
   const policy = new FifoPolicy(system, info.slots, () => 10);
   const never = {monotonicMs: Infinity, wallMs: Infinity};
   return new Owner(
     system,
     {isHeld: () => true, getMember: () => MEMBER, getEnd: () => never},
     {
-      getServer: () => ({info, pool, policy}),
+      getServer: () => ({info, connections, policy}),
       getRules: () => undefined,
       isGranted: () => true,
       isAccepting: () => true,
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -18,6 +18,7 @@
 import type {CallerProtocol} from '../src/caller_protocol.js';
 import type {AttemptResult, Exchange, RoutedRequest} from '../src/exchange.js';
 import {Owner} from '../src/owner.js';
+import {ServerConnections} from '../src/server_connections.js';
 import type {Limits} from '../src/settings.js';
 import {FakeServer, ManualSystem, RecordingSink} from './fakes.js';
 
@@ -47,6 +48,7 @@
 function createRouted(origin: string): RoutedRequest {
   const protocol = {
     createServerHeaders: () => ({}),
+    isIdentified: () => true,
     isForeignAnswer: () => false,
     isServerRefusal: () => false,
   } as unknown as CallerProtocol;
@@ -94,7 +96,8 @@
       connections: 9,
       isLeaving: false,
     };
-    const local = {info, pool: this.pool, policy};
+    const connections = new ServerConnections(() => this.pool);
+    const local = {info, connections, policy};
     this.owner = new Owner(
       this.system,
       {
--- a/packages/daemon/test/routed_listener.test.ts
+++ b/packages/daemon/test/routed_listener.test.ts
@@ -64,6 +64,7 @@
   parseRequest: () => ({requestId: 'a', deadlineMs: 800, key: undefined}),
   createServerHeaders: () => ({}),
   isServerRefusal: () => false,
+  isIdentified: () => true,
   isForeignAnswer: () => false,
   createProblemHead: () => ({status: 503, headers: {'retry-after': '0.250'}}),
 };
--- a/packages/platform/src/callers.ts
+++ b/packages/platform/src/callers.ts
@@ -67,6 +67,10 @@
     );
   }
 
+  isIdentified(headers: HeaderMap): boolean {
+    return getHeader(headers, REQUEST_ID_HEADER) !== undefined;
+  }
+
   isForeignAnswer(
     status: number,
     headers: HeaderMap,
@@ -76,12 +80,13 @@
     if (echoedRequestId !== undefined && echoedRequestId !== requestId)
       return true;
     if (getHeader(headers, 'content-encoding') !== undefined) return true;
+    if (this.isServerRefusal(status, headers)) return false;
     const isSuccess =
       status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
+    if (!isSuccess) return echoedRequestId !== requestId && requestId !== '';
     return (
-      isSuccess &&
-      (echoedRequestId === undefined ||
-        getHeader(headers, SERVER_SEAL_HEADER) === undefined)
+      echoedRequestId === undefined ||
+      getHeader(headers, SERVER_SEAL_HEADER) === undefined
     );
   }
 
--- a/packages/platform/test/translation.test.ts
+++ b/packages/platform/test/translation.test.ts
@@ -94,6 +94,11 @@
     protocol.isForeignAnswer(200, {...own, 'content-encoding': 'gzip'}, 'a'),
   );
   t.false(protocol.isForeignAnswer(503, {'not-run': '1'}, 'a'));
+  t.false(protocol.isIdentified({'not-run': '1'}));
+  t.false(protocol.isForeignAnswer(500, own, 'a'));
+  t.true(protocol.isForeignAnswer(500, own, 'b'));
+  t.true(protocol.isForeignAnswer(500, {}, 'a'));
+  t.false(protocol.isForeignAnswer(500, {}, ''));
 });
 
 test('the status tells callers whether their request was run', t => {
