Refuse at once what a stopping daemon cannot finish, and end what is left with an outcome

Cause: a stop waited for the requests of the own server and closed the callers' listeners only after that, while the entry took and forwarded requests as ever; a time limit then ended the process whatever was in progress, and told nobody. The time limit and the notice were fixed figures, so with a grace period of 2 s the process exited before the notice was over.

Change: ShutdownGate stands before the entry (callers) and the owner (peers). During the notice all requests are admitted. After it a request is admitted only if its deadline passes before the end of the requests; the rest gets 503 (DD3021) at once, on open and on new connections, with the time until this daemon has stopped. At seven eighths of the grace period, inside its last sixth, the requests in progress are ended: not run if they were not sent, unknown otherwise; then the listeners close. All times are fractions of the grace period; at 6 s the notice keeps its length.

Ruled out: closing the listeners at the end of the notice. Where fewer than half of the zone's daemons are in, clients go on sending, and requests that end in time are served until the last moment.

Tests: stop.process plays two stops that overlap at grace periods of 2, 6 and 10 s while callers and peers go on sending on open and new connections.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -54,6 +54,11 @@
 import {RequestTally} from './request_tally.js';
 import {countHostsByService} from './host_counts.js';
 import type {Settings} from './settings.js';
+import {
+  createStopTimes,
+  ShutdownGate,
+  type StopTimes,
+} from './shutdown_gate.js';
 import {type ControlStatus, StatusReader} from './status.js';
 import {StoreView} from './store_view.js';
 import {Takeover} from './takeover.js';
@@ -73,10 +78,6 @@
 const CONNECTION_DRAIN_MS = 1_000;
 const SHUTDOWN_LIMIT_MS = 30_000;
 const SHUTDOWN_POLL_MS = 20;
-/** Margin before the end of the platform's grace period at which shutdown stops waiting. */
-const STOP_MARGIN_MS = 500;
-/** Time for callers to learn that this daemon accepts no more requests, before it restarts. */
-const RESTART_NOTICE_MS = 2_200;
 
 /** Creates and starts a daemon; rejects when an address is already in use. */
 export async function createDaemon(settings: Settings): Promise<Daemon> {
@@ -138,6 +139,7 @@
   /** Defined only on a platform, whose configuration source it follows. */
   private readonly configuration: ConfigurationFollower | undefined;
   private readonly loopMonitor: LoopMonitor;
+  private readonly shutdownGate: ShutdownGate;
   private readonly drains: ListenerDrain[] = [];
   protected readonly listeners: Array<{close(): PromiseLike<unknown>}> = [];
   private backgroundTasks: Array<Promise<void>> = [];
@@ -153,6 +155,7 @@
     const {limits} = settings;
     const {peers} = adapters;
     this.loopMonitor = new LoopMonitor(system);
+    this.shutdownGate = new ShutdownGate(system);
     this.metrics =
       platform?.metrics ??
       createMetrics(settings.statsdAddress, this.log.createChild('metrics'));
@@ -382,13 +385,34 @@
   }
 
   async stop(): Promise<void> {
-    if (this.platform === undefined) return this.stopComponents();
+    const times = createStopTimes(this.platform?.graceMs ?? Infinity);
+    if (this.platform === undefined) return this.stopComponents(times);
     // The platform kills the process at the end of the grace period, even with work in progress.
-    const limitMs = this.platform.graceMs - STOP_MARGIN_MS;
-    await Promise.race([this.stopComponents(), waitFor(this.system, limitMs)]);
+    this.shutdownGate.startStopping(times);
+    const isStopped = await Promise.race([
+      this.stopComponents(times).then(() => true),
+      waitFor(this.system, times.requestsEndMs).then(() => false),
+    ]);
+    if (!isStopped) await this.endRequests(times);
   }
 
-  private async stopComponents(): Promise<void> {
+  /** Tells the callers of the requests in progress what is known of them, before the process exits. */
+  private async endRequests({requestsEndMs, exitMs}: StopTimes): Promise<void> {
+    const count = this.shutdownGate.endRequests();
+    this.log.writeWarning(
+      'The grace period is over; the requests in progress were ended.',
+      {count},
+    );
+    await Promise.race([
+      Promise.all(this.drains.map(drain => drain.close())),
+      waitFor(this.system, exitMs - requestsEndMs),
+    ]);
+  }
+
+  private async stopComponents({
+    noticeMs,
+    maxNoticeMs,
+  }: StopTimes): Promise<void> {
     const isRestarting =
       this.settings.grants === 'answered' && this.registry.hasRemainingServer();
     this.log.writeInfo('The daemon is shutting down.', {
@@ -400,8 +424,12 @@
       this.sessionManager.startLeaving();
     }
     for (const drain of this.drains) drain.start();
-    if (isRestarting) await waitFor(this.system, RESTART_NOTICE_MS);
-    else await this.waitUntil(() => this.hasNoSlices(), LEAVING_ADMISSION_MS);
+    if (isRestarting) await waitFor(this.system, noticeMs);
+    else
+      await this.waitUntil(
+        () => this.hasNoSlices(),
+        Math.min(LEAVING_ADMISSION_MS, maxNoticeMs),
+      );
     this.owner.startClosing();
     await this.waitUntil(
       () => this.owner.getRunningCount() === 0,
@@ -440,6 +468,7 @@
       entry,
       owner,
       registry,
+      shutdownGate: this.shutdownGate,
       platform: this.platform,
       isReady: () => this.isReady(),
       isLagging: waitedMs => this.isLagging(waitedMs),
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -26,6 +26,7 @@
   addRoutedCallerRoutes,
   addRoutedPeerRoutes,
   createListener,
+  type ExchangeHandler,
   type InternalErrorHandler,
   type ExchangeObserver,
 } from './request_listener.js';
@@ -34,6 +35,7 @@
 import {addServerRoutes} from './server_listener.js';
 import type {ServerRegistry} from './server_registry.js';
 import type {Settings} from './settings.js';
+import type {ShutdownGate} from './shutdown_gate.js';
 
 const SERVICE_UNAVAILABLE = 503;
 /** Retry delay for routed callers; by then they have been directed to another daemon. */
@@ -56,6 +58,7 @@
   readonly entry: Entry;
   readonly owner: Owner;
   readonly registry: ServerRegistry;
+  readonly shutdownGate: ShutdownGate;
   readonly operators: OperatorDependencies;
   readonly peers: PeerServiceDependencies;
   readonly observe: ExchangeObserver;
@@ -171,7 +174,7 @@
     app,
     platform.protocol,
     factory,
-    exchange => parts.entry.handle(exchange),
+    createCallerHandler(parts),
     parts.observe,
     parts.onInternalError,
   );
@@ -210,26 +213,36 @@
     app,
     'caller',
     factory,
-    exchange => parts.entry.handle(exchange),
+    createCallerHandler(parts),
     parts.observe,
     parts.onInternalError,
   );
   return app;
 }
 
+function createCallerHandler({
+  entry,
+  shutdownGate,
+}: ListenerDependencies): ExchangeHandler {
+  return exchange =>
+    shutdownGate.handle(exchange, 'caller', one => entry.handle(one));
+}
+
 async function createPeerListener(
   parts: ListenerDependencies,
   factory: ExchangeFactory,
   routed: RoutedExchangeFactory | undefined,
 ): Promise<FastifyInstance> {
-  const {settings, owner} = parts;
+  const {settings, owner, shutdownGate} = parts;
+  const handlePeer: ExchangeHandler = exchange =>
+    shutdownGate.handle(exchange, 'peer', one => owner.handle(one));
   const app = createListener(settings.limits);
   await addPeerRoutes(app, settings.peerKey, parts.peers);
   addRequestRoutes(
     app,
     'peer',
     factory,
-    exchange => owner.handle(exchange),
+    handlePeer,
     () => {},
     parts.onInternalError,
   );
@@ -238,7 +251,7 @@
     addRoutedPeerRoutes(
       app,
       routed,
-      exchange => owner.handle(exchange),
+      handlePeer,
       parts.onInternalError,
       ({headers}) => keyVerifier.isAuthorized(headers.authorization),
     );
--- a/packages/platform/test/fake_store.ts
+++ b/packages/platform/test/fake_store.ts
@@ -35,9 +35,12 @@
   readonly sockets: Socket[] = [];
   /** Whether the next call gets no response on a connection that stays open. */
   isNextSilent = false;
+  /** Whether a watch without events waits for the next change; otherwise it returns at once. */
+  isWaitingForChanges = false;
   /** Revision before which the history is compacted; watches from before it fail. */
   compactedTo = 0;
   private revision = FIRST_REVISION;
+  private readonly waiting = new Set<() => void>();
   private readonly kinds = new Map<string, Map<string, StoredRecord>>();
   private readonly app: FastifyInstance = fastify({
     forceCloseConnections: true,
@@ -63,6 +66,7 @@
   }
 
   async stop(): Promise<void> {
+    for (const wake of [...this.waiting]) wake();
     await this.app.close();
   }
 
@@ -70,25 +74,25 @@
     this.revision += 1;
     const record = {metadata: {name, rev: this.revision}, spec};
     this.getKind(kind).set(name, record);
+    for (const wake of [...this.waiting]) wake();
     return this.revision;
   }
 
   private addRoutes(): void {
     this.app.get<{
       Params: KindParams;
-      Querystring: {after?: string; watch?: string};
-    }>('/objects/:kind', (request, reply) => {
-      const {after = '', watch} = request.query;
-      const records = [...this.getKind(request.params.kind).values()].sort(
-        (a, b) => (a.metadata.name < b.metadata.name ? -1 : 1),
-      );
+      Querystring: {after?: string; watch?: string; wait_ms?: string};
+    }>('/objects/:kind', async (request, reply) => {
+      const {kind} = request.params;
+      const {after = '', watch, wait_ms: waitMs = '0'} = request.query;
       if (watch !== undefined) {
         if (Number(watch) < this.compactedTo) return reply.code(410).send({});
-        const events = records
-          .filter(({metadata}) => metadata.rev > Number(watch))
-          .map(object => ({object, removed: false}));
-        return reply.send({events, store_revision: this.revision});
+        const find = () => this.listEvents(kind, Number(watch));
+        if (this.isWaitingForChanges && find().length === 0)
+          await this.waitForChange(Number(waitMs));
+        return reply.send({events: find(), store_revision: this.revision});
       }
+      const records = this.listRecords(kind);
       const rest = records.filter(({metadata}) => metadata.name > after);
       return reply.send({
         items: rest.slice(0, PAGE_SIZE),
@@ -129,6 +133,30 @@
     );
   }
 
+  private listRecords(kind: string): readonly StoredRecord[] {
+    return [...this.getKind(kind).values()].sort((a, b) =>
+      a.metadata.name < b.metadata.name ? -1 : 1,
+    );
+  }
+
+  private listEvents(kind: string, revision: number) {
+    return this.listRecords(kind)
+      .filter(({metadata}) => metadata.rev > revision)
+      .map(object => ({object, removed: false}));
+  }
+
+  private waitForChange(limitMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, limitMs);
+      this.waiting.add(wake);
+    });
+  }
+
   private write(
     reply: FastifyReply,
     kind: string,
