Tell peers that a daemon stops before its listener closes

Cause: a daemon that restarts keeps its session, so peers went on sending to it, and each request opened a connection, as every response of a stopping daemon closes its own. A connection that is established while the listener closes is reset by the kernel together with the request on it.

Change: when it stops taking requests of its own server, a daemon sends a stop notice to all peers, two datagrams of some 90 bytes each 50 ms apart, and closes its listeners no sooner than 100 ms after the first. A peer that has the notice sends it nothing until its host has a session of another incarnation, or for 30 s. For a fleet of n daemons a stop costs 2 (n - 1) datagrams; no call of the store.

Ruled out: learning from the refusals. A daemon refuses for only some 20 ms before it closes, and most peers send less often. Waiting longer for the accept queue only moves the moment.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -78,6 +78,10 @@
 const CONNECTION_DRAIN_MS = 1_000;
 const SHUTDOWN_LIMIT_MS = 30_000;
 const SHUTDOWN_POLL_MS = 20;
+/** Number of times that each peer is told that this daemon stops. */
+const STOP_NOTICE_SENDINGS = 2;
+/** Time for a stop notice to arrive, and for requests that crossed it to be read. */
+const STOP_NOTICE_INTERVAL_MS = 50;
 
 /** Creates and starts a daemon; rejects when an address is already in use. */
 export async function createDaemon(settings: Settings): Promise<Daemon> {
@@ -431,10 +435,13 @@
         Math.min(LEAVING_ADMISSION_MS, maxNoticeMs),
       );
     this.owner.startClosing();
-    await this.waitUntil(
-      () => this.owner.getRunningCount() === 0,
-      SHUTDOWN_LIMIT_MS,
-    );
+    await Promise.all([
+      this.sendStopNotices(),
+      this.waitUntil(
+        () => this.owner.getRunningCount() === 0,
+        SHUTDOWN_LIMIT_MS,
+      ),
+    ]);
     this.coordinator.stop();
     this.loadReporter.stop();
     this.gaugeReporter.stop();
@@ -459,6 +466,19 @@
     this.log.writeInfo('The daemon has stopped.');
   }
 
+  /** Announces to all peers that this daemon takes no more requests, and waits until they know. */
+  private async sendStopNotices(): Promise<void> {
+    const self = this.sessionManager.getMember();
+    // A datagram may be lost.
+    for (let sending = 0; sending < STOP_NOTICE_SENDINGS; sending++) {
+      for (const {member, peerAddress} of this.view.getLiveSessions()) {
+        if (member.host !== self.host)
+          this.channel.sendStopNotice(peerAddress, self);
+      }
+      await waitFor(this.system, STOP_NOTICE_INTERVAL_MS);
+    }
+  }
+
   protected async openListeners(): Promise<void> {
     const {settings, system, entry, owner, registry} = this;
     const {store, view, takeover, status, report, survey} = this;
@@ -528,7 +548,7 @@
 
   private receiveDatagram(datagram: Datagram, from: Address): void {
     const {body} = datagram;
-    if (body.value !== undefined)
+    if (body.case === 'heartbeat' || body.case === 'heartbeatAnswer')
       this.configuration?.receiveGeneration(Number(body.value.configuration));
     if (body.case === 'heartbeat') {
       const {host, incarnation, sequence} = body.value;
@@ -537,6 +557,9 @@
         Number(sequence),
         from,
       );
+    } else if (body.case === 'stopNotice') {
+      const {host, incarnation} = body.value;
+      this.entry.receiveStopNotice({host, incarnation});
     } else if (body.case === 'heartbeatAnswer') {
       const {host, incarnation, sequence, fenced} = body.value;
       const {witnessHost, witnessIncarnation} = body.value;
--- a/packages/daemon/src/datagram_channel.ts
+++ b/packages/daemon/src/datagram_channel.ts
@@ -1,5 +1,5 @@
 /**
- * Exchanges heartbeats and their answers between daemons as authenticated UDP datagrams. A datagram
+ * Exchanges heartbeats, their answers and stop notices between daemons as authenticated UDP datagrams. A datagram
  * consists of a truncated HMAC-SHA-256 of the message, followed by the message.
  */
 import {
@@ -13,12 +13,13 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 
 import type {Log} from '@dottereldrift/core/log.js';
-import type {Address} from '@dottereldrift/core/types.js';
+import type {Address, Member} from '@dottereldrift/core/types.js';
 import {
   type Datagram,
   DatagramSchema,
   HeartbeatAnswerSchema,
   HeartbeatSchema,
+  StopNoticeSchema,
 } from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 
 const TAG_BYTES = 16;
@@ -54,6 +55,8 @@
   open(handler: DatagramHandler): Promise<void>;
   sendHeartbeat(to: Address, heartbeat: OutgoingHeartbeat): void;
   sendAnswer(to: Address, answer: OutgoingAnswer): void;
+  /** Announces that a member takes no more requests from its peers. */
+  sendStopNotice(to: Address, member: Member): void;
   close(): void;
 }
 
@@ -115,6 +118,14 @@
     );
   }
 
+  sendStopNotice(to: Address, {host, incarnation}: Member): void {
+    const value = create(StopNoticeSchema, {host, incarnation});
+    this.sendDatagram(
+      to,
+      create(DatagramSchema, {body: {case: 'stopNotice', value}}),
+    );
+  }
+
   close(): void {
     this.socket.close();
   }
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -4,7 +4,7 @@
  */
 import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
-import type {HostName, ServiceName} from '@dottereldrift/core/types.js';
+import type {HostName, Member, ServiceName} from '@dottereldrift/core/types.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
 import {AnswerSizes} from '@dottereldrift/routing/answer_sizes.js';
 import {
@@ -44,6 +44,7 @@
 import type {OfferCounts} from './request_tally.js';
 import {getPosition} from './request_position.js';
 import {ServingHosts} from './serving_hosts.js';
+import {StoppingMembers} from './stopping_members.js';
 import type {StoreView} from './store_view.js';
 
 /** Delay before the entry looks again for a route that is missing. */
@@ -101,6 +102,7 @@
   private readonly responseSizes = new AnswerSizes();
   private readonly offerThrottle: OfferThrottle;
   private readonly servingHosts: ServingHosts;
+  private readonly stoppingMembers: StoppingMembers;
   private onEnd: EndListener = () => {};
 
   constructor(
@@ -114,6 +116,12 @@
   ) {
     this.servingHosts = new ServingHosts(view, selfHost);
     this.offerThrottle = new OfferThrottle(system);
+    this.stoppingMembers = new StoppingMembers(system);
+  }
+
+  /** Sends no more requests to a daemon that has announced its stop. */
+  receiveStopNotice(member: Member): void {
+    this.stoppingMembers.addNotice(member);
   }
 
   /** Sets the listener that is called for each finished request. */
@@ -318,13 +326,16 @@
       routed === undefined
         ? 1
         : this.responseSizes.getRemoteCostFactor(kind.name);
-    return this.servingHosts.listHosts(service, distance);
+    const hosts = this.servingHosts.listHosts(service, distance);
+    if (this.stoppingMembers.isEmpty()) return hosts;
+    return hosts.filter(({host}) => this.createCandidate(host) !== undefined);
   }
 
   private createCandidate(host: string): Candidate | undefined {
     const session = this.view.getSession(host)?.session;
     if (session === undefined || session.isEnded) return undefined;
     const {member, peerAddress} = session;
+    if (this.stoppingMembers.isStopping(member)) return undefined;
     return {member, peerAddress, isLocal: host === this.selfHost};
   }
 
--- a/packages/daemon/test/datagram_channel.test.ts
+++ b/packages/daemon/test/datagram_channel.test.ts
@@ -75,6 +75,11 @@
     sameKeyChannel.sendHeartbeat(address, HEARTBEAT);
   });
   t.is(received.filter(name => name === 'heartbeat').length, 1);
+  await new Promise<void>(resolve => {
+    notify = resolve;
+    sameKeyChannel.sendStopNotice(address, {host: 'h1', incarnation: 'a'});
+  });
+  t.is(received.at(-1), 'stopNotice');
   for (const open of [channel, otherKeyChannel, sameKeyChannel]) open.close();
   socket.close();
 });
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -337,3 +337,29 @@
     if (offers > 100) return;
   }
 });
+
+// Guards against requests that are sent to a daemon as it closes its listener, and reset there.
+test('a daemon that announced its stop is sent no request until its host has a new session', async t => {
+  const bench = new Bench();
+  bench.liveHosts = ['b', 'c'];
+  bench.servers = [
+    {service: SERVICE, slots: 6},
+  ] as unknown as Session['servers'];
+  const rules = {...bench.rules, division: 'none'} as Exchange['rules'];
+  const target = {service: SERVICE, key: undefined, path: '/'};
+  const sendToAnyHost = () =>
+    bench.settle(bench.handle({routed: ROUTED, rules, target}));
+  bench.entry.receiveStopNotice({host: 'b', incarnation: '0'});
+  t.is(await bench.settle(bench.send()), '200', 'an earlier incarnation');
+  bench.entry.receiveStopNotice({host: 'b', incarnation: '1'});
+  bench.sentTo.length = 0;
+  t.like(await bench.settle(bench.handle({routed: ROUTED})), {
+    kind: 'failed',
+    failure: {outcome: 'not-run', code: 'DD3004', retryAfterMs: 250},
+  });
+  for (let number = 0; number < 20; number++)
+    t.is((await sendToAnyHost()).kind, 'answered');
+  t.deepEqual([...new Set(bench.sentTo)], ['c']);
+  bench.system.shift(30_000);
+  t.is(await bench.settle(bench.send()), '200', 'the stop was not completed');
+});
--- a/packages/daemon/test/session_manager.test.ts
+++ b/packages/daemon/test/session_manager.test.ts
@@ -56,6 +56,7 @@
         this.sent.push(sequence);
       },
       sendAnswer: () => {},
+      sendStopNotice: () => {},
       close: () => {},
     },
     {tryEnd: () => Promise.resolve(false)},
--- a/packages/scenario/src/virtual_daemon.ts
+++ b/packages/scenario/src/virtual_daemon.ts
@@ -11,7 +11,7 @@
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatMessage, type MessageCode} from '@dottereldrift/core/messages.js';
 import {waitFor} from '@dottereldrift/core/system.js';
-import type {Address, Outcome} from '@dottereldrift/core/types.js';
+import type {Address, Member, Outcome} from '@dottereldrift/core/types.js';
 import {DaemonComponents} from '@dottereldrift/daemon/daemon.js';
 import type {
   DatagramChannel,
@@ -44,6 +44,7 @@
   DatagramSchema,
   HeartbeatAnswerSchema,
   HeartbeatSchema,
+  StopNoticeSchema,
 } from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
 import {
   type FollowObjectsRequest,
@@ -227,6 +228,12 @@
     this.send(to, create(DatagramSchema, {body}));
   }
 
+  sendStopNotice(to: Address, {host, incarnation}: Member): void {
+    const value = create(StopNoticeSchema, {host, incarnation});
+    const body = {case: 'stopNotice', value} as const;
+    this.send(to, create(DatagramSchema, {body}));
+  }
+
   close(): void {
     this.handler = () => {};
   }
