Answer 502 in the native protocol for an ended request that may have run

Seen by reading: a request that a stop ended after it was sent had the outcome `unknown` and the status 503, which promises the opposite. The platform's protocol takes the status from the outcome and was right. No other outcome `unknown` reaches the default status for a caller that still waits. Test "a request that a stop ended gets 503 only if it was not run" fails without the change.

--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -324,7 +324,8 @@
     case 'DD3099':
       return 500;
     default:
-      return 503;
+      // A 503 promises that the request was not run.
+      return failure.outcome === 'unknown' ? 502 : 503;
   }
 }
 
--- a/packages/daemon/test/request_listener.test.ts
+++ b/packages/daemon/test/request_listener.test.ts
@@ -15,8 +15,9 @@
 import type {Manifest} from '@dottereldrift/manifest/types.js';
 import {parseTarget} from '@dottereldrift/routing/request_target.js';
 
-import type {Exchange} from '../src/exchange.js';
+import type {AttemptResult, Exchange} from '../src/exchange.js';
 import {ExchangeFactory, type RequestSource} from '../src/exchange_factory.js';
+import {createNotRunFailure} from '../src/failures.js';
 import {formatTarget} from '../src/forwarder.js';
 import {filterHeaders} from '../src/headers.js';
 import {addRequestRoutes, createListener} from '../src/request_listener.js';
@@ -52,7 +53,7 @@
 
 async function startTestListener(
   source: RequestSource = 'caller',
-  onExchange: (exchange: Exchange) => void = () => {},
+  onExchange: (exchange: Exchange) => AttemptResult | void = () => {},
 ): Promise<TestListener> {
   const app = createListener(LIMITS);
   const manifest = createManifest();
@@ -68,7 +69,8 @@
     factory,
     exchange => {
       seen.push(exchange);
-      onExchange(exchange);
+      const result = onExchange(exchange);
+      if (result !== undefined) return Promise.resolve(result);
       exchange.answer.startAnswer(200, {'dottereldrift-outcome': 'completed'});
       exchange.answer.endAnswer({});
       return Promise.resolve({
@@ -113,6 +115,20 @@
 
 const PATH = '/services/menu/keys/floor-3/view';
 
+// Guards against a request that may have run and whose status promises that it was not.
+test('a request that a stop ended gets 503 only if it was not run', async t => {
+  const {app, port} = await startTestListener('caller', exchange => {
+    const outcome = exchange.target.path === '/sent' ? 'unknown' : 'not-run';
+    const failure = {...createNotRunFailure('DD3021', 0), outcome} as const;
+    return {kind: 'failed', failure};
+  });
+  const send = async (path: string) =>
+    formatAnswer(await sendBytes(port, createRequest(`GET ${path}`, '')));
+  t.is(await send('/services/menu/keys/a/sent'), '502 unknown DD3021');
+  t.is(await send('/services/menu/keys/a/waiting'), '503 not-run DD3021');
+  await app.close();
+});
+
 test('bad input gets a problem with its outcome', async t => {
   const {app, port, seen} = await startTestListener();
   const cases: ReadonlyArray<readonly [string, Buffer]> = [
