Admit all requests for 2.5 s of a stop at most

Cause: the time for which a stopping daemon admits every request grew with the grace period, to 4.2 s at 10 s. A request sent later than 3 s after the signal may not be broken off, but one whose server works on it for 5 s and more would have been (LOST). Found by reading the admission against the rule for each grace_s.

The assertion "maxNoticeMs < 3000" of shutdown_gate fails at 10 s without the change. The setup of the tests of server_connections, which stood in each test, is one function.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -47,7 +47,6 @@
 import {PeerBackedStore} from './peer_backed_store.js';
 import {PlacementPlanner} from './placement_planner.js';
 import {ServerRegistry} from './server_registry.js';
-import {LEAVING_ADMISSION_MS} from './server_types.js';
 import {PREVIOUS_GRANTS_LAPSE_MS, SessionManager} from './session_manager.js';
 import {RefusalLog} from './refusal_log.js';
 import {FailureLog} from './request_log.js';
@@ -429,11 +428,7 @@
     }
     for (const drain of this.drains) drain.start();
     if (isRestarting) await waitFor(this.system, noticeMs);
-    else
-      await this.waitUntil(
-        () => this.hasNoSlices(),
-        Math.min(LEAVING_ADMISSION_MS, maxNoticeMs),
-      );
+    else await this.waitUntil(() => this.hasNoSlices(), maxNoticeMs);
     this.owner.startClosing();
     await Promise.all([
       this.sendStopNotices(),
--- a/packages/daemon/src/shutdown_gate.ts
+++ b/packages/daemon/src/shutdown_gate.ts
@@ -17,6 +17,11 @@
 
 /** Time for callers to learn that this daemon accepts no more requests, before it restarts. */
 const RESTART_NOTICE_MS = 2_200;
+/**
+ * Longest time for which all requests are admitted. The platform allows a daemon to break off a request that is sent
+ * later than 3 s after the stop signal only if its deadline has passed.
+ */
+const MAX_NOTICE_MS = 2_500;
 /** Largest fraction of the grace period that the notice takes; requests have the rest to finish. */
 const MAX_NOTICE_SHARE = 5 / 12;
 /** Fraction of the grace period after which the requests in progress are ended. */
@@ -40,7 +45,7 @@
 
 /** Divides a grace period in milliseconds; an infinite one ends no request. */
 export function createStopTimes(graceMs: number): StopTimes {
-  const maxNoticeMs = graceMs * MAX_NOTICE_SHARE;
+  const maxNoticeMs = Math.min(MAX_NOTICE_MS, graceMs * MAX_NOTICE_SHARE);
   return {
     noticeMs: Math.min(RESTART_NOTICE_MS, maxNoticeMs),
     maxNoticeMs,
--- a/packages/daemon/test/server_connections.test.ts
+++ b/packages/daemon/test/server_connections.test.ts
@@ -3,7 +3,7 @@
  */
 import type {Socket} from 'node:net';
 
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {RequestKind} from '@dottereldrift/manifest/types.js';
@@ -78,6 +78,19 @@
   return {owner, connections};
 }
 
+/** Starts a server and its owner; returns a function that sends a request and tells what is known of its outcome. */
+async function startOwner(t: ExecutionContext, server: FakeServer) {
+  const {port} = new URL(await server.start());
+  const system = new ManualSystem();
+  const {owner, connections} = createOwner(system, Number(port));
+  t.teardown(async () => {
+    await connections.destroy();
+    await server.stop();
+  });
+  const sendRequest = (requestId: string) => send(system, owner, requestId);
+  return {connections, sendRequest};
+}
+
 /** Sends a request to its owner as an entry does each time, and returns what is known of its outcome. */
 async function send(
   system: ManualSystem,
@@ -174,16 +187,10 @@
   test(`a late duplicate of a refusal is not taken for the response to the request sent again: ${refusal.slice(0, 3)}`, async t => {
     const refusals = 2;
     const {server, runs} = createRefusingServer(refusal, refusals);
-    const {port} = new URL(await server.start());
-    const system = new ManualSystem();
-    const {owner, connections} = createOwner(system, Number(port));
-    t.teardown(async () => {
-      await connections.destroy();
-      await server.stop();
-    });
+    const {sendRequest} = await startOwner(t, server);
     const outcomes: string[] = [];
     for (let sending = 0; sending <= refusals; sending++)
-      outcomes.push(await send(system, owner, 'r1'));
+      outcomes.push(await sendRequest('r1'));
     t.deepEqual(outcomes, [
       'not-run DD3010',
       'not-run DD3010',
@@ -197,20 +204,14 @@
 
 test('a request never meets a connection twice, however often it is sent', async t => {
   const {server, runs} = createRefusingServer('503 X\r\nnot-run: 1', 0);
-  const {port} = new URL(await server.start());
-  const system = new ManualSystem();
-  const {owner, connections} = createOwner(system, Number(port));
-  t.teardown(async () => {
-    await connections.destroy();
-    await server.stop();
-  });
+  const {sendRequest} = await startOwner(t, server);
   const sent = Array.from({length: SENDINGS}, (_, index) => [
     'r1',
     `other${index}`,
     'r2',
   ]).flat();
   for (const requestId of sent)
-    t.is(await send(system, owner, requestId), 'answered 200 paid');
+    t.is(await sendRequest(requestId), 'answered 200 paid');
   t.deepEqual(runs, sent);
   for (const received of server.received) {
     const requestIds = parseRequestIds(received);
@@ -229,29 +230,17 @@
     if (second !== undefined || first !== 'r1')
       socket.write(formatResponse('200 OK', second ?? first, 'paid'));
   });
-  const {port} = new URL(await server.start());
-  const system = new ManualSystem();
-  const {owner, connections} = createOwner(system, Number(port));
-  t.teardown(async () => {
-    await connections.destroy();
-    await server.stop();
-  });
-  t.is(await send(system, owner, 'r1'), 'not-run DD3010');
+  const {sendRequest} = await startOwner(t, server);
+  t.is(await sendRequest('r1'), 'not-run DD3010');
   await new Promise(resolve => setImmediate(resolve));
-  t.is(await send(system, owner, 'r2'), 'answered 200 paid');
+  t.is(await sendRequest('r2'), 'answered 200 paid');
 });
 
 test('closed connections send nothing, also of a request that is sent again', async t => {
   const {server, runs} = createRefusingServer('503 X\r\nnot-run: 1', 0);
-  const {port} = new URL(await server.start());
-  const system = new ManualSystem();
-  const {owner, connections} = createOwner(system, Number(port));
-  t.teardown(async () => {
-    await connections.destroy();
-    await server.stop();
-  });
-  await send(system, owner, 'r1');
+  const {connections, sendRequest} = await startOwner(t, server);
+  await sendRequest('r1');
   await connections.close();
-  t.is(await send(system, owner, 'r1'), 'not-run DD3008');
+  t.is(await sendRequest('r1'), 'not-run DD3008');
   t.deepEqual(runs, ['r1']);
 });
--- a/packages/daemon/test/shutdown_gate.test.ts
+++ b/packages/daemon/test/shutdown_gate.test.ts
@@ -35,6 +35,8 @@
     const {noticeMs, maxNoticeMs, requestsEndMs, exitMs} = times;
     t.true(0 < noticeMs && noticeMs <= maxNoticeMs);
     t.true(maxNoticeMs < graceMs / 2);
+    // A request that is sent later than 3 s after the signal may not be broken off at all.
+    t.true(maxNoticeMs < 3_000);
     // A request may be broken off in the last sixth of the grace period only.
     t.true((graceMs * 5) / 6 < requestsEndMs);
     t.true(requestsEndMs < exitMs && exitMs < graceMs);
