Pace large responses at the bandwidth of the host's link, and admit by it

The owner admitted by slots alone and wrote whole downloads at once, so bytes queued in the link, and all else that leaves such a host waited behind them: answers to calls of other servers, their own calls, heartbeats. Orders, whose servers wait for such a call, held their slots two to three times as long or failed.

Ruled out as the main cause: the lag of the event loop (1 to 2 ms in the middle, at most 24 ms at the 90th percentile in any second).

The platform states the bandwidth of each host in its settings.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -64,6 +64,7 @@
   DD3032: '{peer} sent a response that belongs to another request.',
   DD3033: 'No route of the configuration covers {host}{path}.',
   DD3034: 'This daemon is overloaded; try again.',
+  DD3035: 'The link of {host} cannot send the response of {service} in time.',
   DD3099: 'The daemon failed while handling the request: {reason}.',
   DD4001: 'The announcement is not valid.',
   DD4002:
--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -5,6 +5,10 @@
 
 import type {Message} from '@dottereldrift/core/messages.js';
 import type {Outcome} from '@dottereldrift/core/types.js';
+import type {
+  EgressPacer,
+  EgressTransfer,
+} from '@dottereldrift/limits/egress_pacer.js';
 
 import type {CallerProtocol} from './caller_protocol.js';
 import type {AnswerSink} from './exchange.js';
@@ -16,6 +20,8 @@
 } from './headers.js';
 
 const MS_PER_SECOND = 1_000;
+/** Bytes of a response that are written without pacing. */
+const UNPACED_BYTES = 8 * 1_024;
 
 /** Media type of problem responses. */
 export const PROBLEM_TYPE = 'application/problem+json';
@@ -24,8 +30,13 @@
 export class HttpAnswer implements AnswerSink {
   private isStarted = false;
   private bytes = 0;
+  private transfer: EgressTransfer | undefined;
 
-  constructor(private readonly response: ServerResponse) {}
+  constructor(
+    private readonly response: ServerResponse,
+    /** Paces large responses; undefined if the bandwidth of the host's link is not known. */
+    private readonly pacer?: EgressPacer,
+  ) {}
 
   startAnswer(
     status: number,
@@ -37,23 +48,48 @@
 
   writeChunk(chunk: Buffer): boolean {
     this.bytes += chunk.byteLength;
-    return this.response.write(chunk);
+    if (this.transfer === undefined && this.bytes > UNPACED_BYTES)
+      this.transfer = this.startTransfer();
+    return this.transfer === undefined
+      ? this.response.write(chunk)
+      : this.transfer.writeChunk(chunk);
   }
 
   waitForDrain(callback: () => void): void {
-    this.response.once('drain', callback);
+    if (this.transfer === undefined) this.response.once('drain', callback);
+    else this.transfer.waitForDrain(callback);
   }
 
   endAnswer(trailers: Readonly<Record<string, string | string[]>>): void {
     const pairs = listHeaderPairs(trailers);
-    if (pairs.length > 0) this.response.addTrailers(pairs);
-    this.response.end();
+    const end = () => {
+      if (pairs.length > 0) this.response.addTrailers(pairs);
+      this.response.end();
+    };
+    if (this.transfer === undefined) end();
+    else this.transfer.end(end);
   }
 
   abort(): void {
+    this.transfer?.cancel();
     this.response.destroy();
   }
 
+  private startTransfer(): EgressTransfer | undefined {
+    const {pacer, response} = this;
+    if (pacer === undefined) return undefined;
+    const transfer = pacer.startTransfer({
+      write: chunk => response.write(chunk),
+      waitForDrain: callback => {
+        response.once('drain', callback);
+      },
+    });
+    response.once('close', () => {
+      transfer.cancel();
+    });
+    return transfer;
+  }
+
   /** Returns the number of body bytes forwarded so far. */
   getBytes(): number {
     return this.bytes;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,6 +9,8 @@
   type System,
   waitFor,
 } from '@dottereldrift/core/system.js';
+import {EgressAdmission} from '@dottereldrift/limits/egress_admission.js';
+import {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
 import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
@@ -136,6 +138,8 @@
   private readonly report: BurnReport;
   private readonly requestLog: FailureLog;
   private readonly tally: RequestTally;
+  /** Undefined when the bandwidth of the host's link is not known. */
+  private readonly pacer: EgressPacer | undefined;
   private readonly status: StatusReader;
   private readonly survey: ConfigurationSurvey;
   private readonly gaugeReporter: GaugeReporter;
@@ -240,12 +244,17 @@
         maxGrantBytes: settings.maxGrantBytes,
       },
     );
+    this.pacer =
+      limits.linkBitsPerSecond === undefined
+        ? undefined
+        : new EgressPacer(system, limits.linkBitsPerSecond);
     this.owner = new Owner(
       system,
       this.sessionManager,
       this.registry,
       limits,
       () => countHostsByService(this.view.getLiveSessions()),
+      this.pacer && new EgressAdmission(this.pacer),
     );
     this.sliceReleaser = new SliceReleaser(
       system,
@@ -329,6 +338,7 @@
       this.metrics,
       this.status,
       this.loopMonitor,
+      this.pacer,
     );
     this.coordinator = new Coordinator(
       system,
@@ -487,6 +497,7 @@
       platform: this.platform,
       isReady: () => this.isReady(),
       isLagging: waitedMs => this.isLagging(waitedMs),
+      pacer: this.pacer,
       operators: {store, view, takeover, status, report, survey},
       peers: this.getPeerServiceDependencies(),
       observe: (exchange, result) => {
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -7,6 +7,7 @@
 import {createMessage} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Address} from '@dottereldrift/core/types.js';
+import type {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
 
 import {KeyVerifier} from './key_verifier.js';
 import {formatRawProblemResponse, type Problem} from './answer_writer.js';
@@ -69,6 +70,8 @@
   readonly isReady: () => boolean;
   /** Returns whether a request that has waited for some milliseconds is too late to start. */
   readonly isLagging: (waitedMs: number) => boolean;
+  /** Undefined when the bandwidth of the host's link is not known. */
+  readonly pacer: EgressPacer | undefined;
 }
 
 /** Drains of the open listeners; each closes its listener. */
@@ -89,6 +92,7 @@
     system,
     settings.limits,
     () => view.getManifest()?.manifest,
+    parts.pacer,
   );
   const {platform} = parts;
   const routed = platform && createRoutedFactory(parts, platform);
@@ -160,6 +164,7 @@
     () => platform.getOrigin(),
     () => operators.view.getManifest(),
     parts.isLagging,
+    parts.pacer,
   );
 }
 
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -58,11 +58,12 @@
  * move takes less time than that; if it takes longer, the caller should retry instead.
  */
 const MOVE_WAIT_SHARE = 1;
-/** Refusals because all slots of a backend server are taken. */
+/** Refusals because all slots of a backend server are taken, or the link of its host. */
 const LOAD_CODES: ReadonlySet<MessageCode> = new Set([
   'DD3011',
   'DD3012',
   'DD3025',
+  'DD3035',
 ]);
 /**
  * Fraction of the latency goal after which a caller that found all slots taken should retry. Goals are two
--- a/packages/daemon/src/exchange_factory.ts
+++ b/packages/daemon/src/exchange_factory.ts
@@ -9,6 +9,7 @@
 
 import {createMessage} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
+import type {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
 import {findKind} from '@dottereldrift/manifest/kind_match.js';
 import type {
   Manifest,
@@ -66,6 +67,7 @@
     private readonly system: System,
     private readonly limits: Limits,
     private readonly getManifest: () => Manifest | undefined,
+    private readonly pacer?: EgressPacer,
   ) {}
 
   /** Validates a request and buffers its body if it is short enough to be kept for retries. */
@@ -97,7 +99,7 @@
       idempotencyKey: checked.right.idempotencyKey,
       firstGeneration: checked.right.firstGeneration,
       firstSentWallMs: checked.right.firstSentWallMs,
-      answer: new HttpAnswer(response),
+      answer: new HttpAnswer(response, this.pacer),
       abandonment,
     });
   }
--- a/packages/daemon/src/gauge_reporter.ts
+++ b/packages/daemon/src/gauge_reporter.ts
@@ -1,8 +1,9 @@
 /**
- * Sends gauges at a fixed interval: lease, requests, slots, store calls, event loop lag and process usage.
+ * Sends gauges at a fixed interval: lease, requests, slots, store calls, link, event loop lag and process usage.
  */
 import type {Metrics} from '@dottereldrift/core/metrics.js';
 import type {System} from '@dottereldrift/core/system.js';
+import type {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
 
 import type {LoopMonitor} from './loop_monitor.js';
 import type {StatusReader} from './status.js';
@@ -19,6 +20,8 @@
     private readonly metrics: Metrics,
     private readonly status: StatusReader,
     private readonly loop: Pick<LoopMonitor, 'takeP99LagMs'>,
+    /** Undefined when the bandwidth of the host's link is not known. */
+    private readonly pacer?: Pick<EgressPacer, 'getQueuedBytes'>,
   ) {}
 
   start(): void {
@@ -49,6 +52,8 @@
       metrics.recordGauge('slots.total', service.slots, tags);
       metrics.recordGauge('slots.reserved', service.reserved, tags);
     }
+    if (this.pacer !== undefined)
+      metrics.recordGauge('link.queued_bytes', this.pacer.getQueuedBytes());
     metrics.recordGauge('loop.delay_p99_ms', this.loop.takeP99LagMs());
     metrics.recordGauge('memory.rss_bytes', process.memoryUsage().rss);
     const {user, system} = process.cpuUsage();
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -5,6 +5,7 @@
 import {isSameMember} from '@dottereldrift/core/member.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Member, ServiceName} from '@dottereldrift/core/types.js';
+import type {EgressAdmission} from '@dottereldrift/limits/egress_admission.js';
 import type {WindowEntry} from '@dottereldrift/limits/idempotency_window.js';
 import {SliceGate} from '@dottereldrift/ownership/slice_gate.js';
 import {findSlice} from '@dottereldrift/ownership/slices.js';
@@ -14,6 +15,7 @@
   Slice,
   SliceRef,
 } from '@dottereldrift/ownership/types.js';
+import {AnswerSizes} from '@dottereldrift/routing/answer_sizes.js';
 import {
   type HostCounts,
   NestedKindDetector,
@@ -76,12 +78,17 @@
   private onAdmission: AdmissionListener = () => {};
   private onRefusal: RefusalListener = () => {};
 
+  /** Sizes of the responses of this host's servers. */
+  private readonly responseSizes = new AnswerSizes();
+
   constructor(
     private readonly system: System,
     private readonly sessionManager: LeaseView,
     private readonly registry: ServerView,
     private readonly limits: Limits,
     countHosts: () => HostCounts = () => new Map(),
+    /** Undefined when the bandwidth of the host's link is not known. */
+    private readonly egress?: EgressAdmission,
   ) {
     this.nestedKinds = new NestedKindDetector(countHosts);
   }
@@ -289,10 +296,41 @@
     const {exchange, state, position, slice} = admitted;
     const {idempotencyKey} = exchange;
     if (idempotencyKey === undefined || exchange.kind.idempotent)
-      return this.runInSlot(admitted);
+      return this.runWithLink(admitted);
     const answerHeaders = createAnswerHeaders(admitted);
     const request = {exchange, idempotencyKey, position, slice, answerHeaders};
-    return state.guard.runOnce(request, () => this.runInSlot(admitted));
+    return state.guard.runOnce(request, () => this.runWithLink(admitted));
+  }
+
+  /** Runs a request if its response can leave this host in time. */
+  private async runWithLink(admitted: AdmittedRequest): Promise<AttemptResult> {
+    const {exchange} = admitted;
+    const {kind, answer, target} = exchange;
+    const endReservation = this.tryReserveLink(exchange);
+    if (endReservation === undefined)
+      return createFailedResult(
+        createNotRunFailure('DD3035', SHORT_RETRY_MS, {
+          service: target.service,
+          host: this.sessionManager.getMember().host,
+        }),
+      );
+    try {
+      const result = await this.runInSlot(admitted);
+      const bytes = answer.getBytes?.();
+      if (result.kind === 'answered' && bytes !== undefined)
+        this.responseSizes.observe(kind.name, bytes);
+      return result;
+    } finally {
+      endReservation();
+    }
+  }
+
+  private tryReserveLink(exchange: Exchange): (() => void) | undefined {
+    if (this.egress === undefined) return () => {};
+    const expectedBytes = this.responseSizes.getMeanBytes(exchange.kind.name);
+    const neededAtMs = getGoalAtMs(exchange) ?? exchange.deadlineAtMs;
+    const leftMs = neededAtMs - this.system.getNow().monotonicMs;
+    return this.egress.tryReserve(expectedBytes, leftMs);
   }
 
   private runInSlot(admitted: AdmittedRequest): Promise<AttemptResult> {
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -308,6 +308,7 @@
     case 'DD3011':
     case 'DD3012':
     case 'DD3025':
+    case 'DD3035':
       return 429;
     case 'DD3018':
     case 'DD3020':
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -11,6 +11,7 @@
 import {createMessage} from '@dottereldrift/core/messages.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
 import type {
   AcceptedManifest,
   Manifest,
@@ -96,6 +97,7 @@
     private readonly getAccepted: () => AcceptedManifest | undefined,
     /** Tells whether this daemon lags too much to start a request that has waited for the given milliseconds. */
     private readonly isOverloaded: (waitedMs: number) => boolean = () => false,
+    private readonly pacer?: EgressPacer,
   ) {
     this.turns = new RequestStartQueue(system);
   }
@@ -151,7 +153,7 @@
       idempotencyKey: undefined,
       firstGeneration: undefined,
       firstSentWallMs: undefined,
-      answer: new HttpAnswer(response),
+      answer: new HttpAnswer(response, this.pacer),
       abandonment,
     });
   }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -52,6 +52,8 @@
     .max(64 * KIBIBYTE)
     .default(16 * KIBIBYTE),
   callerConnections: z.number().int().min(1).max(100_000).default(10_000),
+  /** Bandwidth of the host's link in bits per second; responses are not paced if it is absent. */
+  linkBitsPerSecond: z.number().positive().optional(),
   storeCallsPerSecond: z.number().min(1).max(1_000).default(20),
   storeCallsBurst: z.number().int().min(1).max(1_000).default(60),
   idempotencyEntries: z.number().int().min(1).max(10_000_000).default(200_000),
--- /dev/null
+++ b/packages/daemon/test/answer_writer.test.ts
@@ -0,0 +1,95 @@
+/**
+ * Tests that paced responses reach their callers whole, over real connections.
+ */
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import {createNodeSystem} from '@dottereldrift/core/system.js';
+import {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
+
+import {HttpAnswer} from '../src/answer_writer.js';
+
+const LINK_BITS_PER_SECOND = 16_000_000;
+const CHUNK_BYTES = 30_000;
+const CHUNKS = 10;
+
+/** Serves the same large response to every request through one pacer. */
+class PacedServer {
+  readonly pacer = new EgressPacer(createNodeSystem(), LINK_BITS_PER_SECOND);
+  private readonly server = http.createServer((_request, response) => {
+    const answer = new HttpAnswer(response, this.pacer);
+    answer.startAnswer(200, {'content-length': String(CHUNKS * CHUNK_BYTES)});
+    this.writeChunks(answer, 0);
+  });
+
+  async start(): Promise<string> {
+    await new Promise<void>(resolve => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private writeChunks(answer: HttpAnswer, written: number): void {
+    for (let index = written; index < CHUNKS; index++) {
+      const hasRoom = answer.writeChunk(Buffer.alloc(CHUNK_BYTES, index));
+      if (hasRoom) continue;
+      answer.waitForDrain(() => {
+        this.writeChunks(answer, index + 1);
+      });
+      return;
+    }
+    answer.endAnswer({});
+  }
+}
+
+function readResponse(url: string): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    http.get(url, {agent: false}, response => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.once('end', () => {
+        resolve(Buffer.concat(chunks));
+      });
+      response.once('error', reject);
+    });
+  });
+}
+
+test('paced responses are whole and in order', async t => {
+  const server = new PacedServer();
+  const url = await server.start();
+  const bodies = await Promise.all([readResponse(url), readResponse(url)]);
+  const expected = Buffer.concat(
+    Array.from({length: CHUNKS}, (_, index) =>
+      Buffer.alloc(CHUNK_BYTES, index),
+    ),
+  );
+  for (const body of bodies) t.true(body.equals(expected));
+  t.is(server.pacer.getQueuedBytes(), 0);
+  server.stop();
+});
+
+test('the rest of a paced response is dropped when its caller disconnects', async t => {
+  const server = new PacedServer();
+  const url = await server.start();
+  await new Promise<void>(resolve => {
+    const request = http.get(url, {agent: false}, response => {
+      response.once('data', () => {
+        response.destroy();
+        resolve();
+      });
+    });
+    request.on('error', () => {});
+  });
+  while (server.pacer.getQueuedBytes() > 0)
+    await new Promise(resolve => setTimeout(resolve, 5));
+  t.is((await readResponse(url)).byteLength, CHUNKS * CHUNK_BYTES);
+  server.stop();
+});
--- a/packages/daemon/test/fakes.ts
+++ b/packages/daemon/test/fakes.ts
@@ -84,6 +84,10 @@
     callback();
   }
 
+  getBytes(): number {
+    return this.body.length;
+  }
+
   endAnswer(trailers: Readonly<Record<string, string | string[]>>): void {
     this.trailers = trailers;
     this.state = 'whole';
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -8,6 +8,7 @@
 import {Pool} from 'undici';
 
 import type {Member} from '@dottereldrift/core/types.js';
+import {EgressAdmission} from '@dottereldrift/limits/egress_admission.js';
 import {FifoPolicy} from '@dottereldrift/limits/fifo_policy.js';
 import type {SlotRequest} from '@dottereldrift/limits/types.js';
 import type {RequestKind} from '@dottereldrift/manifest/types.js';
@@ -80,7 +81,11 @@
     this.server = new FakeServer(script);
   }
 
-  async start(slots = 4, countHosts?: () => HostCounts): Promise<void> {
+  async start(
+    slots = 4,
+    countHosts?: () => HostCounts,
+    egress?: EgressAdmission,
+  ): Promise<void> {
     const url = await this.server.start();
     this.pool = new Pool(url, {connections: 8});
     const policy = new FifoPolicy(this.system, slots, () => 10);
@@ -114,6 +119,7 @@
       },
       LIMITS,
       countHosts,
+      egress,
     );
     this.applySlice({});
   }
@@ -486,3 +492,32 @@
   t.is(release(3).length, 1, 'a slice that was moved as planned is released');
   await fixture.stop();
 });
+
+// Guards against requests that hold a slot for a response that a busy link delivers too late.
+test('a request whose response the link cannot send in time does not run', async t => {
+  const body = 'x'.repeat(20_000);
+  const head = `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n`;
+  const fixture = new OwnerFixture((socket, text) => {
+    if (text.endsWith('{}')) socket.write(`${head}${body}`);
+  });
+  let queuedBytes = 0;
+  const egress = new EgressAdmission({
+    getQueuedBytes: () => queuedBytes,
+    computeSendMs: bytes => bytes / 100,
+  });
+  await fixture.start(4, undefined, egress);
+  const send = () => fixture.send({idempotencyKey: undefined});
+  const results = [await send()];
+  queuedBytes = DEADLINE_MS * 100;
+  results.push(await send());
+  queuedBytes = 0;
+  results.push(await send());
+  const states = results.map(({result}) =>
+    result.kind === 'answered'
+      ? result.status
+      : `${result.failure.outcome} ${result.failure.code}`,
+  );
+  t.deepEqual(states, [200, 'not-run DD3035', 200]);
+  t.is(fixture.server.countRequests(), 2);
+  await fixture.stop();
+});
--- /dev/null
+++ b/packages/limits/src/egress_pacer.ts
@@ -0,0 +1,195 @@
+/**
+ * Paces large responses at the bandwidth of the host's link. A link that is slower than the responses written to
+ * it queues their bytes, and every later message waits behind them: calls between backend servers,
+ * heartbeats and lease renewals. Responses are sent one after the other, so that the first ones are complete
+ * while later ones still wait.
+ */
+import type {Cancel, System} from '@dottereldrift/core/system.js';
+
+/** Fraction of the bandwidth that large responses may use; the rest is for all other messages. */
+const BULK_SHARE = 0.8;
+/** Maximum number of bytes written at once, which a later message may have to wait for. */
+const SLICE_BYTES = 16 * 1_024;
+/** Maximum number of bytes of one response that are queued before reading it is paused. */
+const MAX_QUEUED_BYTES = 256 * 1_024;
+/** Idle time of the link that can be made up for, in milliseconds, because timers fire late. */
+const MAX_CREDIT_MS = 20;
+const BITS_PER_BYTE = 8;
+const MS_PER_SECOND = 1_000;
+
+/** Destination of a response; its write returns false when the receiver cannot keep up. */
+export interface EgressTarget {
+  write(chunk: Buffer): boolean;
+  /** Calls back once when the receiver has caught up. */
+  waitForDrain(callback: () => void): void;
+}
+
+/** Divides the bandwidth of a link among large responses. */
+export class EgressPacer {
+  /** Responses with queued bytes, in order of arrival. */
+  private readonly transfers = new Set<EgressTransfer>();
+  private readonly bytesPerMs: number;
+  private queuedBytes = 0;
+  /** Monotonic time at which the bytes written so far have left the link. */
+  private idleAtMs = -Infinity;
+  private cancelTimer: Cancel | undefined;
+  private isWriting = false;
+
+  constructor(
+    private readonly system: System,
+    bitsPerSecond: number,
+  ) {
+    this.bytesPerMs =
+      (bitsPerSecond * BULK_SHARE) / BITS_PER_BYTE / MS_PER_SECOND;
+  }
+
+  /** Starts a response that is paced. */
+  startTransfer(target: EgressTarget): EgressTransfer {
+    return new EgressTransfer(target, {
+      addBytes: (transfer, count) => {
+        this.queuedBytes += count;
+        this.transfers.add(transfer);
+        this.writeSlices();
+      },
+      removeBytes: (transfer, count) => {
+        this.queuedBytes -= count;
+        if (transfer.isEmpty()) this.transfers.delete(transfer);
+      },
+      resume: () => {
+        this.writeSlices();
+      },
+    });
+  }
+
+  /** Returns the number of bytes that wait to be written. */
+  getQueuedBytes(): number {
+    return this.queuedBytes;
+  }
+
+  /** Returns how long the link takes for a number of bytes, in milliseconds. */
+  computeSendMs(bytes: number): number {
+    return bytes / this.bytesPerMs;
+  }
+
+  /** Writes what the link can carry now. Reentrant calls return; the running loop covers them. */
+  private writeSlices(): void {
+    if (this.isWriting || this.cancelTimer !== undefined) return;
+    this.isWriting = true;
+    this.writeUntilBusy();
+    this.isWriting = false;
+  }
+
+  private writeUntilBusy(): void {
+    for (;;) {
+      const transfer = this.findWritable();
+      if (transfer === undefined) return;
+      const nowMs = this.system.getNow().monotonicMs;
+      if (this.idleAtMs > nowMs) {
+        this.cancelTimer = this.system.startTimer(this.idleAtMs - nowMs, () => {
+          this.cancelTimer = undefined;
+          this.writeSlices();
+        });
+        return;
+      }
+      const sentBytes = transfer.writeSlice(SLICE_BYTES);
+      this.idleAtMs =
+        Math.max(this.idleAtMs, nowMs - MAX_CREDIT_MS) +
+        this.computeSendMs(sentBytes);
+    }
+  }
+
+  private findWritable(): EgressTransfer | undefined {
+    for (const transfer of this.transfers)
+      if (transfer.isWritable()) return transfer;
+    return undefined;
+  }
+}
+
+/** Accounting of the pacer that a response reports its bytes to. */
+interface EgressQueue {
+  addBytes(transfer: EgressTransfer, count: number): void;
+  removeBytes(transfer: EgressTransfer, count: number): void;
+  resume(): void;
+}
+
+/** One paced response. */
+export class EgressTransfer {
+  private readonly chunks: Buffer[] = [];
+  private queuedBytes = 0;
+  private isBlocked = false;
+  private isCancelled = false;
+  private readonly drainListeners: Array<() => void> = [];
+  private onEnd: (() => void) | undefined;
+
+  constructor(
+    private readonly target: EgressTarget,
+    private readonly queue: EgressQueue,
+  ) {}
+
+  /** Queues a chunk; returns false when no more should be read until the queue has drained. */
+  writeChunk(chunk: Buffer): boolean {
+    if (this.isCancelled) return true;
+    this.chunks.push(chunk);
+    this.queuedBytes += chunk.byteLength;
+    this.queue.addBytes(this, chunk.byteLength);
+    return this.queuedBytes <= MAX_QUEUED_BYTES;
+  }
+
+  /** Calls back once when more may be read. */
+  waitForDrain(callback: () => void): void {
+    if (this.queuedBytes <= MAX_QUEUED_BYTES) callback();
+    else this.drainListeners.push(callback);
+  }
+
+  /** Calls back when the last byte has been written; not at all if the response is cancelled. */
+  end(callback: () => void): void {
+    if (this.isEmpty()) callback();
+    else this.onEnd = callback;
+  }
+
+  /** Discards the queued bytes, because the receiver has disconnected. */
+  cancel(): void {
+    if (this.isCancelled) return;
+    this.isCancelled = true;
+    const discardedBytes = this.queuedBytes;
+    this.chunks.length = 0;
+    this.queuedBytes = 0;
+    this.onEnd = undefined;
+    this.queue.removeBytes(this, discardedBytes);
+    this.notifyDrained();
+    this.queue.resume();
+  }
+
+  isEmpty(): boolean {
+    return this.queuedBytes === 0;
+  }
+
+  isWritable(): boolean {
+    return !this.isBlocked && !this.isEmpty();
+  }
+
+  /** Writes at most the given number of bytes; returns how many were written. */
+  writeSlice(maxBytes: number): number {
+    const [first] = this.chunks;
+    if (first === undefined) return 0;
+    const slice = first.subarray(0, maxBytes);
+    if (slice.byteLength === first.byteLength) this.chunks.shift();
+    else this.chunks[0] = first.subarray(maxBytes);
+    this.queuedBytes -= slice.byteLength;
+    this.queue.removeBytes(this, slice.byteLength);
+    if (!this.target.write(slice)) {
+      this.isBlocked = true;
+      this.target.waitForDrain(() => {
+        this.isBlocked = false;
+        this.queue.resume();
+      });
+    }
+    if (this.queuedBytes <= MAX_QUEUED_BYTES) this.notifyDrained();
+    if (this.isEmpty()) this.onEnd?.();
+    return slice.byteLength;
+  }
+
+  private notifyDrained(): void {
+    for (const listener of this.drainListeners.splice(0)) listener();
+  }
+}
--- a/packages/platform/src/settings.ts
+++ b/packages/platform/src/settings.ts
@@ -39,6 +39,7 @@
 /** Servers read at most 4 KiB of a response; the rest is for the fields around the grant's rows. */
 const MAX_GRANT_BYTES = 4_000;
 const MS_PER_SECOND = 1_000;
+const BITS_PER_MEGABIT = 1_000_000;
 
 /** Settings of a daemon on the platform. */
 export interface PlatformSettings {
@@ -93,6 +94,7 @@
     maxHoldMs: bounds.hold_max_ms,
     maxGrantBytes: MAX_GRANT_BYTES,
     loadPace: LOAD_PACE,
+    limits: createLimits(wire),
   });
   if (E.isLeft(daemon)) return daemon;
   return E.right({
@@ -109,6 +111,11 @@
   });
 }
 
+function createLimits({limits}: WireSettings): Record<string, number> {
+  if (limits.link_mbps === undefined) return {};
+  return {linkBitsPerSecond: limits.link_mbps * BITS_PER_MEGABIT};
+}
+
 /**
  * Derives the peer key. The platform provides no secret, so the key only distinguishes the datagrams of
  * fleets that use the same addresses one after the other.
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -41,7 +41,11 @@
     control: addressSchema,
   }),
   port_range: z.tuple([z.number().int(), z.number().int()]),
-  limits: z.object({memory_mb: z.number().positive()}),
+  limits: z.object({
+    memory_mb: z.number().positive(),
+    /** Bandwidth of the host's link in megabits per second. */
+    link_mbps: z.number().positive().optional(),
+  }),
   bounds: z.object({
     /** Time after an acknowledged departure from which the server gets no more requests. */
     drain_ms: z.number().positive(),
--- a/packages/platform/test/examples.ts
+++ b/packages/platform/test/examples.ts
@@ -90,7 +90,7 @@
     control: '10.1.0.8:8306',
   },
   port_range: [7620, 7635],
-  limits: {memory_mb: 350},
+  limits: {memory_mb: 350, link_mbps: 1000},
   bounds: {
     drain_ms: 2000,
     grace_s: 6,
--- a/packages/routing/src/answer_sizes.ts
+++ b/packages/routing/src/answer_sizes.ts
@@ -32,9 +32,14 @@
     this.meanBytes.set(kind, mean + (bytes - mean) * SIZE_WEIGHT);
   }
 
+  /** Returns the mean size of the answers to a kind of request, in bytes; 0 if none is known. */
+  getMeanBytes(kind: string): number {
+    return this.meanBytes.get(kind) ?? 0;
+  }
+
   /** Returns the cost factor of hosts in other data centres for a kind of request. */
   getRemoteCostFactor(kind: string): number {
-    const bytes = this.meanBytes.get(kind) ?? 0;
+    const bytes = this.getMeanBytes(kind);
     return Math.min(
       MAX_REMOTE_COST_FACTOR,
       MIN_REMOTE_COST_FACTOR + bytes / BYTES_PER_COST_UNIT,
--- a/packages/routing/src/attempt_end.ts
+++ b/packages/routing/src/attempt_end.ts
@@ -15,6 +15,7 @@
   'DD3012',
   'DD3025',
   'DD3034',
+  'DD3035',
 ]);
 
 /** Failures caused by the host, its server, or the network path to it. */
--- a/packages/routing/src/retry.ts
+++ b/packages/routing/src/retry.ts
@@ -32,6 +32,7 @@
   'DD3025',
   'DD3027',
   'DD3029',
+  'DD3035',
 ]);
 
 /** Returns whether another attempt is allowed and can start before the deadline. */
@@ -53,6 +54,7 @@
   'DD3024',
   'DD3025',
   'DD3034',
+  'DD3035',
 ]);
 
 /**
