Offer a request that any host may run to four hosts without capacity at most

What callers saw: orders waited until their deadline and ended with 504 untried.

Cause: a request that any host may run was offered to each of the 22 hosts of its service, one after the other, however many refused for load. The hops took the time of the request and the processor time of the daemons that run the others.

Change: after four refusals for load the caller is refused at once and told when to return. Hosts that cannot be reached, stop or have lost their server do not count. The test failed before with 22 offers in place of 4.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -58,6 +58,11 @@
  * move takes less time than that; if it takes longer, the caller should retry instead.
  */
 const MOVE_WAIT_SHARE = 1;
+/**
+ * Maximum number of hosts without capacity that are offered a request that any host may run. While most hosts are
+ * full, every further offer takes processor time from the requests that they run.
+ */
+const MAX_LOAD_REFUSALS = 4;
 /** Refusals because all slots of a backend server are taken, or the link of its host. */
 const LOAD_CODES: ReadonlySet<MessageCode> = new Set([
   'DD3011',
@@ -149,6 +154,7 @@
     let refused: RefusedAttempt | undefined;
     let failure: AttemptFailure | undefined;
     const tried = new Set<HostName>();
+    let loadRefusals = 0;
     for (let retries = 0; ; retries++) {
       const route = this.chooseRoute(exchange, tried);
       if (
@@ -162,8 +168,11 @@
           return result;
         }
         failure = addFailureHost(route, result.failure, failure);
+        if (isRefusedForLoad(result)) loadRefusals += 1;
         const isNew = addTriedHost(route, tried);
-        if (isNew && this.mayOfferElsewhere(exchange, failure, tried)) continue;
+        const mayOffer = isNew && loadRefusals < MAX_LOAD_REFUSALS;
+        if (mayOffer && this.mayOfferElsewhere(exchange, failure, tried))
+          continue;
         this.refreshRoute(exchange, failure);
         refused = createRefusedAttempt(route, failure) ?? refused;
         if (failure.outcome === 'unknown') attemptsMade += 1;
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -338,6 +338,26 @@
   }
 });
 
+// Guards against requests that are refused by host after host and take the processor time of those that run.
+test('a request that any host may run is offered to at most four hosts without capacity', async t => {
+  const bench = new Bench();
+  bench.liveHosts = Array.from({length: 22}, (_, index) => `h-${index}`);
+  bench.servers = [
+    {service: SERVICE, slots: 4},
+  ] as unknown as Session['servers'];
+  const rules = {...bench.rules, division: 'none'} as Exchange['rules'];
+  const target = {service: SERVICE, key: undefined, path: '/'};
+  const offers = async (code: 'DD3011' | 'DD3008') => {
+    bench.answer = () => createFailed('not-run', code);
+    bench.sentTo.length = 0;
+    await bench.settle(bench.handle({routed: ROUTED, rules, target}));
+    return {count: bench.sentTo.length, hosts: new Set(bench.sentTo).size};
+  };
+  t.deepEqual(await offers('DD3011'), {count: 4, hosts: 4});
+  const {hosts} = await offers('DD3008');
+  t.is(hosts, 22, 'hosts that cannot be reached do not count');
+});
+
 // Guards against requests that are sent to a daemon as it closes its listener, and reset there.
 test('a daemon that announced its stop is sent no request until its host has a new session', async t => {
   const bench = new Bench();
