Write slices of a response by the bandwidth of the link

Change: a slice is what the link carries in 5 ms, 16 KiB at least. On a fast link chunks are written as they arrive; at 8.4 Mbit/s nothing changes.

--- a/packages/limits/src/egress_pacer.ts
+++ b/packages/limits/src/egress_pacer.ts
@@ -8,8 +8,10 @@
 
 /** Fraction of the bandwidth that large responses may use; the rest is for all other messages. */
 const BULK_SHARE = 0.8;
-/** Maximum number of bytes written at once, which a later message may have to wait for. */
-const SLICE_BYTES = 16 * 1_024;
+/** Time that the bytes written at once may take, in milliseconds; a later message may have to wait for it. */
+const MAX_SLICE_MS = 5;
+/** Bytes that may be written at once on any link; smaller writes would cost too much processor time. */
+const MIN_SLICE_BYTES = 16 * 1_024;
 /** Maximum number of bytes of one response that are queued before reading it is paused. */
 const MAX_QUEUED_BYTES = 256 * 1_024;
 /** Idle time of the link that can be made up for, in milliseconds, because timers fire late. */
@@ -29,6 +31,7 @@
   /** Responses with queued bytes, in order of arrival. */
   private readonly transfers = new Set<EgressTransfer>();
   private readonly bytesPerMs: number;
+  private readonly sliceBytes: number;
   private queuedBytes = 0;
   /** Monotonic time at which the bytes written so far have left the link. */
   private idleAtMs = -Infinity;
@@ -41,6 +44,10 @@
   ) {
     this.bytesPerMs =
       (bitsPerSecond * BULK_SHARE) / BITS_PER_BYTE / MS_PER_SECOND;
+    this.sliceBytes = Math.max(
+      MIN_SLICE_BYTES,
+      Math.floor(this.bytesPerMs * MAX_SLICE_MS),
+    );
   }
 
   /** Starts a response that is paced. */
@@ -91,7 +98,7 @@
         });
         return;
       }
-      const sentBytes = transfer.writeSlice(SLICE_BYTES);
+      const sentBytes = transfer.writeSlice(this.sliceBytes);
       this.idleAtMs =
         Math.max(this.idleAtMs, nowMs - MAX_CREDIT_MS) +
         this.computeSendMs(sentBytes);
--- a/packages/limits/test/egress_pacer.test.ts
+++ b/packages/limits/test/egress_pacer.test.ts
@@ -15,10 +15,14 @@
 /** Records what reaches the connections of a pacer. */
 class EgressHarness {
   readonly system = new VirtualSystem(() => 0.5);
-  readonly pacer = new EgressPacer(this.system, LINK_BITS_PER_SECOND);
+  readonly pacer: EgressPacer;
   readonly events: string[] = [];
   private readonly drains = new Map<string, () => void>();
 
+  constructor(bitsPerSecond = LINK_BITS_PER_SECOND) {
+    this.pacer = new EgressPacer(this.system, bitsPerSecond);
+  }
+
   /** Starts a response to a receiver that accepts a number of bytes before it has to drain. */
   startTransfer(name: string, acceptedBytes = Infinity): EgressTransfer {
     let written = 0;
@@ -123,3 +127,15 @@
   const {pacer} = new EgressHarness();
   t.not(new EgressAdmission(pacer).tryReserve(RESPONSE_BYTES, 10), undefined);
 });
+
+test('on a fast link a response is written as it arrives', t => {
+  const harness = new EgressHarness(1_000_000_000);
+  const transfer = harness.startTransfer('response');
+  for (let chunk = 0; chunk < 3; chunk++)
+    transfer.writeChunk(Buffer.alloc(65_536));
+  t.deepEqual(harness.events, [
+    '0 ms: response 65536',
+    '0 ms: response 131072',
+    '0 ms: response 196608',
+  ]);
+});
