Do not pace fast links

Nothing is ever refused or delayed for the link there.

Cause: not shown. What differs there is only the work for each request: a promise, a reservation, a transfer for each response above 8 KiB, on code that runs a few hundred times in a process.

Slower links as before.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,10 @@
   waitFor,
 } from '@dottereldrift/core/system.js';
 import {EgressAdmission} from '@dottereldrift/limits/egress_admission.js';
-import {EgressPacer} from '@dottereldrift/limits/egress_pacer.js';
+import {
+  createPacer,
+  type EgressPacer,
+} from '@dottereldrift/limits/egress_pacer.js';
 import {createSlotPolicy} from '@dottereldrift/limits/slot_policies.js';
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
@@ -244,10 +247,7 @@
         maxGrantBytes: settings.maxGrantBytes,
       },
     );
-    this.pacer =
-      limits.linkBitsPerSecond === undefined
-        ? undefined
-        : new EgressPacer(system, limits.linkBitsPerSecond);
+    this.pacer = createPacer(system, limits.linkBitsPerSecond);
     this.owner = new Owner(
       system,
       this.sessionManager,
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -302,18 +302,25 @@
     return state.guard.runOnce(request, () => this.runWithLink(admitted));
   }
 
-  /** Runs a request if its response can leave this host in time. */
-  private async runWithLink(admitted: AdmittedRequest): Promise<AttemptResult> {
+  /** Runs a request unless the link of this host cannot send its response in time. */
+  private runWithLink(admitted: AdmittedRequest): Promise<AttemptResult> {
+    const {egress} = this;
+    if (egress === undefined) return this.runInSlot(admitted);
     const {exchange} = admitted;
-    const {kind, answer, target} = exchange;
-    const endReservation = this.tryReserveLink(exchange);
-    if (endReservation === undefined)
-      return createFailedResult(
-        createNotRunFailure('DD3035', SHORT_RETRY_MS, {
-          service: target.service,
-          host: this.sessionManager.getMember().host,
-        }),
-      );
+    const expectedBytes = this.responseSizes.getMeanBytes(exchange.kind.name);
+    const neededAtMs = getGoalAtMs(exchange) ?? exchange.deadlineAtMs;
+    const leftMs = neededAtMs - this.system.getNow().monotonicMs;
+    const endReservation = egress.tryReserve(expectedBytes, leftMs);
+    return endReservation === undefined
+      ? Promise.resolve(this.refuseForLink(exchange))
+      : this.runReserved(admitted, endReservation);
+  }
+
+  private async runReserved(
+    admitted: AdmittedRequest,
+    endReservation: () => void,
+  ): Promise<AttemptResult> {
+    const {kind, answer} = admitted.exchange;
     try {
       const result = await this.runInSlot(admitted);
       const bytes = answer.getBytes?.();
@@ -325,12 +332,11 @@
     }
   }
 
-  private tryReserveLink(exchange: Exchange): (() => void) | undefined {
-    if (this.egress === undefined) return () => {};
-    const expectedBytes = this.responseSizes.getMeanBytes(exchange.kind.name);
-    const neededAtMs = getGoalAtMs(exchange) ?? exchange.deadlineAtMs;
-    const leftMs = neededAtMs - this.system.getNow().monotonicMs;
-    return this.egress.tryReserve(expectedBytes, leftMs);
+  private refuseForLink({target: {service}}: Exchange): AttemptResult {
+    const {host} = this.sessionManager.getMember();
+    return createFailedResult(
+      createNotRunFailure('DD3035', SHORT_RETRY_MS, {service, host}),
+    );
   }
 
   private runInSlot(admitted: AdmittedRequest): Promise<AttemptResult> {
--- a/packages/limits/src/egress_pacer.ts
+++ b/packages/limits/src/egress_pacer.ts
@@ -16,6 +16,8 @@
 const MAX_QUEUED_BYTES = 256 * 1_024;
 /** Idle time of the link that can be made up for, in milliseconds, because timers fire late. */
 const MAX_CREDIT_MS = 20;
+/** Bandwidth from which a link is not paced: 100 KB take 4 ms. */
+const FAST_LINK_BITS_PER_SECOND = 200_000_000;
 const BITS_PER_BYTE = 8;
 const MS_PER_SECOND = 1_000;
 
@@ -26,6 +28,19 @@
   waitForDrain(callback: () => void): void;
 }
 
+/**
+ * Creates a pacer for a link. Returns undefined for a fast link, which sends a large response in less time than a daemon
+ * takes to relay it, and for one whose bandwidth is not known.
+ */
+export function createPacer(
+  system: System,
+  bitsPerSecond: number | undefined,
+): EgressPacer | undefined {
+  const isPaced =
+    bitsPerSecond !== undefined && bitsPerSecond < FAST_LINK_BITS_PER_SECOND;
+  return isPaced ? new EgressPacer(system, bitsPerSecond) : undefined;
+}
+
 /** Divides the bandwidth of a link among large responses. */
 export class EgressPacer {
   /** Responses with queued bytes, in order of arrival. */
