Count only bytes that wait for the link, and queue none for a closed response

A response whose connection had ended before its first paced byte stayed queued for good. An error thrown by a write would have stopped the pacer.

Change: the backlog is the sum over responses whose receivers keep up; a destroyed response is written directly, which discards; the writing flag is reset in a finally block.

--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -77,7 +77,8 @@
 
   private startTransfer(): EgressTransfer | undefined {
     const {pacer, response} = this;
-    if (pacer === undefined) return undefined;
+    // A response that is already closed would never be removed from the queue.
+    if (pacer === undefined || response.destroyed) return undefined;
     const transfer = pacer.startTransfer({
       write: chunk => response.write(chunk),
       waitForDrain: callback => {
--- a/packages/daemon/test/answer_writer.test.ts
+++ b/packages/daemon/test/answer_writer.test.ts
@@ -93,3 +93,36 @@
   t.is((await readResponse(url)).byteLength, CHUNKS * CHUNK_BYTES);
   server.stop();
 });
+
+// Guards against bytes that stay queued for good, so that the host admits no more downloads.
+test('a response whose caller has already disconnected queues nothing', async t => {
+  const pacer = new EgressPacer(createNodeSystem(), LINK_BITS_PER_SECOND);
+  const server = http.createServer();
+  const closed = new Promise<http.ServerResponse>(resolve => {
+    server.on('request', (_request, response: http.ServerResponse) => {
+      response.once('close', () => {
+        resolve(response);
+      });
+      response.writeHead(200);
+      response.write('x');
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  const request = http.get(
+    {port, host: '127.0.0.1', agent: false},
+    response => {
+      response.destroy();
+    },
+  );
+  request.on('error', () => {});
+  const answer = new HttpAnswer(await closed, pacer);
+  for (let chunk = 0; chunk < CHUNKS; chunk++)
+    answer.writeChunk(Buffer.alloc(CHUNK_BYTES));
+  await new Promise(resolve => setTimeout(resolve, 100));
+  t.is(pacer.getQueuedBytes(), 0);
+  server.close();
+  server.closeAllConnections();
+});
--- a/packages/limits/src/egress_pacer.ts
+++ b/packages/limits/src/egress_pacer.ts
@@ -47,7 +47,6 @@
   private readonly transfers = new Set<EgressTransfer>();
   private readonly bytesPerMs: number;
   private readonly sliceBytes: number;
-  private queuedBytes = 0;
   /** Monotonic time at which the bytes written so far have left the link. */
   private idleAtMs = -Infinity;
   private cancelTimer: Cancel | undefined;
@@ -68,14 +67,12 @@
   /** Starts a response that is paced. */
   startTransfer(target: EgressTarget): EgressTransfer {
     return new EgressTransfer(target, {
-      addBytes: (transfer, count) => {
-        this.queuedBytes += count;
+      add: transfer => {
         this.transfers.add(transfer);
         this.writeSlices();
       },
-      removeBytes: (transfer, count) => {
-        this.queuedBytes -= count;
-        if (transfer.isEmpty()) this.transfers.delete(transfer);
+      remove: transfer => {
+        this.transfers.delete(transfer);
       },
       resume: () => {
         this.writeSlices();
@@ -83,9 +80,12 @@
     });
   }
 
-  /** Returns the number of bytes that wait to be written. */
+  /** Returns the number of bytes that wait for the link; those that wait for their receivers do not count. */
   getQueuedBytes(): number {
-    return this.queuedBytes;
+    let queuedBytes = 0;
+    for (const transfer of this.transfers)
+      if (transfer.isWritable()) queuedBytes += transfer.getQueuedBytes();
+    return queuedBytes;
   }
 
   /** Returns how long the link takes for a number of bytes, in milliseconds. */
@@ -97,8 +97,11 @@
   private writeSlices(): void {
     if (this.isWriting || this.cancelTimer !== undefined) return;
     this.isWriting = true;
-    this.writeUntilBusy();
-    this.isWriting = false;
+    try {
+      this.writeUntilBusy();
+    } finally {
+      this.isWriting = false;
+    }
   }
 
   private writeUntilBusy(): void {
@@ -127,10 +130,12 @@
   }
 }
 
-/** Accounting of the pacer that a response reports its bytes to. */
+/** The queue of the pacer, as its responses see it. */
 interface EgressQueue {
-  addBytes(transfer: EgressTransfer, count: number): void;
-  removeBytes(transfer: EgressTransfer, count: number): void;
+  /** Adds a response that has queued bytes. */
+  add(transfer: EgressTransfer): void;
+  /** Removes a response that has none left. */
+  remove(transfer: EgressTransfer): void;
   resume(): void;
 }
 
@@ -153,7 +158,7 @@
     if (this.isCancelled) return true;
     this.chunks.push(chunk);
     this.queuedBytes += chunk.byteLength;
-    this.queue.addBytes(this, chunk.byteLength);
+    this.queue.add(this);
     return this.queuedBytes <= MAX_QUEUED_BYTES;
   }
 
@@ -173,15 +178,18 @@
   cancel(): void {
     if (this.isCancelled) return;
     this.isCancelled = true;
-    const discardedBytes = this.queuedBytes;
     this.chunks.length = 0;
     this.queuedBytes = 0;
     this.onEnd = undefined;
-    this.queue.removeBytes(this, discardedBytes);
+    this.queue.remove(this);
     this.notifyDrained();
     this.queue.resume();
   }
 
+  getQueuedBytes(): number {
+    return this.queuedBytes;
+  }
+
   isEmpty(): boolean {
     return this.queuedBytes === 0;
   }
@@ -198,7 +206,7 @@
     if (slice.byteLength === first.byteLength) this.chunks.shift();
     else this.chunks[0] = first.subarray(maxBytes);
     this.queuedBytes -= slice.byteLength;
-    this.queue.removeBytes(this, slice.byteLength);
+    if (this.isEmpty()) this.queue.remove(this);
     if (!this.target.write(slice)) {
       this.isBlocked = true;
       this.target.waitForDrain(() => {
--- a/packages/limits/test/egress_pacer.test.ts
+++ b/packages/limits/test/egress_pacer.test.ts
@@ -83,6 +83,31 @@
   t.snapshot(harness.events);
 });
 
+// Guards against a receiver that reads nothing and keeps its host from admitting downloads.
+test('bytes that wait for their receiver do not count as waiting for the link', t => {
+  const harness = new EgressHarness();
+  harness.startTransfer('stalled', 1).writeChunk(Buffer.alloc(RESPONSE_BYTES));
+  harness.run(500);
+  t.is(harness.pacer.getQueuedBytes(), 0);
+  const admission = new EgressAdmission(harness.pacer);
+  t.not(admission.tryReserve(RESPONSE_BYTES, 200), undefined);
+});
+
+test('an error of a receiver does not stop the other responses', t => {
+  const harness = new EgressHarness();
+  const failing = harness.pacer.startTransfer({
+    write: () => {
+      throw new Error('the connection is closed');
+    },
+    waitForDrain: () => {},
+  });
+  t.throws(() => failing.writeChunk(Buffer.alloc(10_000)));
+  failing.cancel();
+  harness.startTransfer('next').writeChunk(Buffer.alloc(10_000));
+  harness.run(500);
+  t.is(harness.events.length, 1);
+});
+
 test('a cancelled response frees the link and never ends', t => {
   const harness = new EgressHarness();
   const cancelled = harness.startTransfer('cancelled');
