--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -77,7 +77,7 @@
 
   private startTransfer(): EgressTransfer | undefined {
     const {pacer, response} = this;
-    // A response that is already closed would never be removed from the queue.
+    // The end of a closed response is not notified again, so it would stay in the queue.
     if (pacer === undefined || response.destroyed) return undefined;
     const transfer = pacer.startTransfer({
       write: chunk => response.write(chunk),
--- a/packages/daemon/test/answer_writer.test.ts
+++ b/packages/daemon/test/answer_writer.test.ts
@@ -94,7 +94,6 @@
   server.stop();
 });
 
-// Guards against bytes that stay queued for good, so that the host admits no more downloads.
 test('a response whose caller has already disconnected queues nothing', async t => {
   const pacer = new EgressPacer(createNodeSystem(), LINK_BITS_PER_SECOND);
   const server = http.createServer();
