Say in comments when there is no pacer

Cause: the comments of the fields named only an unknown bandwidth; since fast links have no pacer either. Comments only; compiled and linted.

--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -34,7 +34,7 @@
 
   constructor(
     private readonly response: ServerResponse,
-    /** Paces large responses; undefined if the bandwidth of the host's link is not known. */
+    /** Paces large responses; undefined if this host's responses are not paced. */
     private readonly pacer?: EgressPacer,
   ) {}
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -141,7 +141,7 @@
   private readonly report: BurnReport;
   private readonly requestLog: FailureLog;
   private readonly tally: RequestTally;
-  /** Undefined when the bandwidth of the host's link is not known. */
+  /** Undefined when this host's responses are not paced. */
   private readonly pacer: EgressPacer | undefined;
   private readonly status: StatusReader;
   private readonly survey: ConfigurationSurvey;
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -70,7 +70,7 @@
   readonly isReady: () => boolean;
   /** Returns whether a request that has waited for some milliseconds is too late to start. */
   readonly isLagging: (waitedMs: number) => boolean;
-  /** Undefined when the bandwidth of the host's link is not known. */
+  /** Undefined when this host's responses are not paced. */
   readonly pacer: EgressPacer | undefined;
 }
 
--- a/packages/daemon/src/gauge_reporter.ts
+++ b/packages/daemon/src/gauge_reporter.ts
@@ -20,7 +20,7 @@
     private readonly metrics: Metrics,
     private readonly status: StatusReader,
     private readonly loop: Pick<LoopMonitor, 'takeP99LagMs'>,
-    /** Undefined when the bandwidth of the host's link is not known. */
+    /** Undefined when this host's responses are not paced. */
     private readonly pacer?: Pick<EgressPacer, 'getQueuedBytes'>,
   ) {}
 
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -87,7 +87,7 @@
     private readonly registry: ServerView,
     private readonly limits: Limits,
     countHosts: () => HostCounts = () => new Map(),
-    /** Undefined when the bandwidth of the host's link is not known. */
+    /** Undefined when this host's responses are not paced. */
     private readonly egress?: EgressAdmission,
   ) {
     this.nestedKinds = new NestedKindDetector(countHosts);
