Log each second in which requests are refused for lag of the event loop

Cause: a daemon whose event loop lags refuses requests before it reads them, so no line of a request shows it; only the counts of every 5 s did.

Change: LagGate takes the decision over unchanged (lag over 100 ms) and writes one line a second while it refuses: refused and started requests of callers and of peers, the largest lag and the processor time. No timer runs otherwise.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -44,6 +44,7 @@
 import type {HostPlatform} from './host_platform.js';
 import {LoadTracker} from './load_tracker.js';
 import {LoadReporter} from './load_reporter.js';
+import {LagGate} from './lag_gate.js';
 import type {ListenerDrain} from './listener_drain.js';
 import {LoopMonitor} from './loop_monitor.js';
 import {SliceReleaser} from './slice_releaser.js';
@@ -149,6 +150,7 @@
   /** Defined only on a platform, whose configuration source it follows. */
   private readonly configuration: ConfigurationFollower | undefined;
   private readonly loopMonitor: LoopMonitor;
+  private readonly lagGate: LagGate;
   private readonly shutdownGate: ShutdownGate;
   private readonly drains: ListenerDrain[] = [];
   protected readonly listeners: Array<{close(): PromiseLike<unknown>}> = [];
@@ -302,6 +304,12 @@
       this.log.createChild('tally'),
       this.counters,
     );
+    this.lagGate = new LagGate(
+      system,
+      this.loopMonitor,
+      this.tally,
+      this.log.createChild('overload'),
+    );
     this.entry.setEndListener((exchange, result, trail) => {
       this.tally.observe(exchange, result, trail);
     });
@@ -354,12 +362,6 @@
     );
   }
 
-  private isLagging(waitedMs: number): boolean {
-    const isLagging = this.loopMonitor.isLagging(waitedMs);
-    if (isLagging) this.tally.observeUnread('DD3034');
-    return isLagging;
-  }
-
   private countRefusal({target}: Exchange, {code, load}: SlotRefusal): void {
     this.metrics.addCount('slots.refused', 1, {
       service: target.service,
@@ -496,7 +498,7 @@
       shutdownGate: this.shutdownGate,
       platform: this.platform,
       isReady: () => this.isReady(),
-      isLagging: waitedMs => this.isLagging(waitedMs),
+      lagGate: this.lagGate,
       pacer: this.pacer,
       operators: {store, view, takeover, status, report, survey},
       peers: this.getPeerServiceDependencies(),
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -15,6 +15,7 @@
 import {ExchangeFactory} from './exchange_factory.js';
 import {SHORT_RETRY_MS} from './failures.js';
 import type {HostPlatform} from './host_platform.js';
+import type {LagGate} from './lag_gate.js';
 import {ListenerDrain} from './listener_drain.js';
 import {
   addOperatorRoutes,
@@ -68,8 +69,7 @@
   readonly platform: HostPlatform | undefined;
   /** Returns whether this daemon accepts requests of callers. */
   readonly isReady: () => boolean;
-  /** Returns whether a request that has waited for some milliseconds is too late to start. */
-  readonly isLagging: (waitedMs: number) => boolean;
+  readonly lagGate: LagGate;
   /** Undefined when this host's responses are not paced. */
   readonly pacer: EgressPacer | undefined;
 }
@@ -163,7 +163,7 @@
     platform.protocol,
     () => platform.getOrigin(),
     () => operators.view.getManifest(),
-    parts.isLagging,
+    parts.lagGate,
     parts.pacer,
   );
 }
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -34,6 +34,8 @@
   REMAINING_HEADER,
   ROUTED_HEADER,
 } from './headers.js';
+import type {RequestSource} from './exchange_factory.js';
+import type {LagGate} from './lag_gate.js';
 import {
   type RequestRejection,
   hasDisconnected,
@@ -73,6 +75,8 @@
 /** An owner sends each request to its backend server once. */
 const OWNER_ATTEMPTS = 1;
 const NO_CONDITIONS = {};
+/** Admits every request. */
+const OPEN_GATE = {tryAdmit: () => true, observeStart: () => {}};
 
 interface SelectedRoute {
   readonly target: RequestTarget;
@@ -95,8 +99,10 @@
     /** Returns the service whose backend server and callers run on this host. */
     private readonly getOrigin: () => ServiceName,
     private readonly getAccepted: () => AcceptedManifest | undefined,
-    /** Tells whether this daemon lags too much to start a request that has waited for the given milliseconds. */
-    private readonly isOverloaded: (waitedMs: number) => boolean = () => false,
+    private readonly lagGate: Pick<
+      LagGate,
+      'tryAdmit' | 'observeStart'
+    > = OPEN_GATE,
     private readonly pacer?: EgressPacer,
   ) {
     this.turns = new RequestStartQueue(system);
@@ -107,7 +113,8 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<E.Either<RequestRejection, Exchange>> {
-    return this.createExchange(request, response, this.selectRoute(request));
+    const selected = this.selectRoute(request);
+    return this.createExchange(request, response, selected, 'caller');
   }
 
   /** Reads a request whose service was selected by another daemon. */
@@ -119,6 +126,7 @@
       request,
       response,
       this.readSelectedRoute(request),
+      'peer',
     );
   }
 
@@ -126,17 +134,19 @@
     request: IncomingMessage,
     response: ServerResponse,
     selected: E.Either<RequestRejection, SelectedRoute>,
+    source: RequestSource,
   ): Promise<E.Either<RequestRejection, Exchange>> {
-    if (this.isOverloaded(this.turns.getOldestWaitMs()))
+    if (!this.lagGate.tryAdmit(source, this.turns.getOldestWaitMs()))
       return E.left(OVERLOADED);
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
     const abandonment = watchAbandonment(request, response);
     const {target, rules, kind, routed, deadlineMs} = selected.right;
     if (await hasDisconnected(request)) return E.left(DISCONNECTED);
-    if (this.isOverloaded(await this.turns.waitForTurn()))
+    if (!this.lagGate.tryAdmit(source, await this.turns.waitForTurn()))
       return E.left(OVERLOADED);
     if (isDisconnected(request)) return E.left(DISCONNECTED);
+    this.lagGate.observeStart(source);
     const body = await readBody(this.system, this.limits, request, deadlineMs);
     if (E.isLeft(body)) return body;
     return E.right({
--- a/packages/daemon/test/routed_listener.test.ts
+++ b/packages/daemon/test/routed_listener.test.ts
@@ -78,7 +78,7 @@
     PROTOCOL,
     () => 'menu',
     () => ACCEPTED,
-    () => isLagging,
+    {tryAdmit: () => !isLagging, observeStart: () => {}},
   );
   const app = createListener(createLimits());
   const handle = (): Promise<AttemptResult> => {
