Give owners that join together their shares, whatever the number of concurrent moves

Cause: owners that are not busy gave slices only to an owner that has none. 22 hosts had joined at the first placement and 13 joined in the 1.7 s after it; 36 moves may be in progress, so each of the 13 was sent 2 or 3 slices, then had some and got no more. The class of fault: a rule for a state that its own first step ends.

Change: an owner counts as joining while it has less than 0.75 of its fair share of the ring; while it is underloaded as well, owners give it slices even if none is busy.

With one joining owner the test that was there passed.

--- a/packages/ownership/src/move_plan.ts
+++ b/packages/ownership/src/move_plan.ts
@@ -8,10 +8,11 @@
 import {
   getRelativeLoad,
   isDonorCandidate,
+  isJoining,
   type OwnerLoad,
   type OwnerLoads,
 } from './owner_loads.js';
-import {getSliceEnd} from './slices.js';
+import {getRingShare, getSliceEnd} from './slices.js';
 import type {Slice} from './types.js';
 
 /** Default relative deviation from the fair load that triggers moves. */
@@ -165,15 +166,15 @@
       const donors = this.loads.listByLoad();
       const highest = donors[0];
       if (highest === undefined) return;
-      // An owner that has just joined gets its share even if no other owner is busy.
-      const isReceiverEmpty = this.getSlicesOf(receiver).length === 0;
       const isReceiverUnderloaded =
         getRelativeLoad(receiver) < 1 - this.maxDeviation;
+      // An owner that has just joined gets its share even if no other owner is busy.
+      const isReceiverJoining = isReceiverUnderloaded && isJoining(receiver);
       const minLoad = isReceiverUnderloaded ? 1 : 1 + this.maxDeviation;
       const donor = donors.find(
         owner =>
           !exhausted.has(owner) &&
-          (isDonorCandidate(owner) || isReceiverEmpty) &&
+          (isReceiverJoining || isDonorCandidate(owner)) &&
           getRelativeLoad(owner) >= minLoad,
       );
       if (donor === undefined || donor === receiver) return;
@@ -236,8 +237,13 @@
   private moveSlice(index: number, target: OwnerLoad): void {
     const source = this.loads.findOwner(this.slices[index]?.owner);
     const rate = this.getRate(index);
-    if (source !== undefined) source.rate -= rate;
+    const ringShare = getRingShare(this.slices, index);
+    if (source !== undefined) {
+      source.rate -= rate;
+      source.ringShare -= ringShare;
+    }
     target.rate += rate;
+    target.ringShare += ringShare;
     this.nextOwners.set(index, target.member);
   }
 
--- a/packages/ownership/src/owner_loads.ts
+++ b/packages/ownership/src/owner_loads.ts
@@ -5,6 +5,7 @@
 import {assertDefined} from '@dottereldrift/core/assert.js';
 import type {HostName, Member} from '@dottereldrift/core/types.js';
 
+import {getRingShare} from './slices.js';
 import type {Slice} from './types.js';
 
 /** Load of an eligible member during planning. */
@@ -16,6 +17,10 @@
   readonly capacity: number | undefined;
   /** Load of the slices that the owner has or is about to receive, in requests per second. */
   rate: number;
+  /** Share of the ring that is fair for the owner's weight. */
+  readonly fairRingShare: number;
+  /** Share of the ring in the slices that the owner has or is about to receive. */
+  ringShare: number;
 }
 
 /**
@@ -24,6 +29,14 @@
  */
 const MIN_DONOR_UTILIZATION = 0.5;
 
+/** Fraction of its fair share of the ring below which an owner is still joining. */
+const JOINED_SHARE = 0.75;
+
+/** Returns whether an owner has joined and does not have its share of the ring yet. */
+export function isJoining({ringShare, fairRingShare}: OwnerLoad): boolean {
+  return ringShare < fairRingShare * JOINED_SHARE;
+}
+
 /** Returns whether an owner is utilized enough to give slices away; true if its capacity is unknown. */
 export function isDonorCandidate({rate, capacity}: OwnerLoad): boolean {
   return capacity === undefined || rate >= capacity * MIN_DONOR_UTILIZATION;
@@ -54,11 +67,15 @@
       fairRate: (total * getWeight(member)) / weight,
       capacity: capacities.get(member.host),
       rate: 0,
+      fairRingShare: getWeight(member) / weight,
+      ringShare: 0,
     }));
     this.byHost = new Map(this.owners.map(owner => [owner.member.host, owner]));
     slices.forEach((slice, index) => {
       const owner = this.findOwner(slice.nextOwner ?? slice.owner);
-      if (owner !== undefined) owner.rate += rates[index] ?? 0;
+      if (owner === undefined) return;
+      owner.rate += rates[index] ?? 0;
+      owner.ringShare += getRingShare(slices, index);
     });
   }
 
--- a/packages/ownership/test/placement.test.ts
+++ b/packages/ownership/test/placement.test.ts
@@ -327,6 +327,19 @@
   t.true(joined.length >= slices.length / 4, `${joined.length}`);
 });
 
+test('owners that join together all get their shares although few slices may move at once', t => {
+  const members = createMembers(35);
+  const present = planUntilStable(createInput(members.slice(0, 22)));
+  const capacities = new Map(members.map(({host}) => [host, 1_000]));
+  const input = createInput(members, {present, capacities});
+  const {slices} = planUntilStable(input);
+  const fairCount = slices.length / members.length;
+  for (const {host} of members) {
+    const count = slices.filter(({owner}) => owner?.host === host).length;
+    t.true(count >= fairCount * 0.7, `${host}: ${count} of ${fairCount}`);
+  }
+});
+
 test('a key that exceeds its server moves to the server with the highest capacity, whose other slices move away', t => {
   const members = createMembers(3);
   const present = planUntilStable(createInput(members));
