Read the store linearizably after it has dropped its history

Cause: a watch whose history is gone made the watcher list the store again with serializable reads. The coordinator writes no assignment while its view is older than the last one, and every other daemon gets its view from the relays. The followers' watch of the configuration did the same. The class of fault: a read that has to be current is made of a copy.

Change: after a loss of history a reader reads linearizably, lists and watches, for 30 s (ConsistencyChoice). A second loss in a row counts as a failure, so that the caller waits before it tries again. A line of the log says when it happens.

--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -9,6 +9,7 @@
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
+import {ConsistencyChoice} from '@dottereldrift/store/consistency_choice.js';
 import type {
   ReadConsistency,
   StoredObject,
@@ -24,6 +25,8 @@
   readonly revision: number;
   /** The accepted manifest; undefined if there is no new one or it cannot be translated. */
   readonly accepted: StoredObject | undefined;
+  /** Whether the store no longer had the history of a watch, so that the configuration was read again. */
+  readonly isReset?: boolean;
 }
 
 /** Source of the configuration. */
@@ -83,6 +86,9 @@
   private announcedGeneration = 0;
   private isStopped = false;
   private cancelWatch: () => void = () => {};
+  private readonly consistency: ConsistencyChoice;
+  /** Whether the last watch found that its history is gone. */
+  private wasReset = false;
 
   /** @param isStoreReader Tells whether this daemon reads the store itself, so that others may follow it. */
   constructor(
@@ -94,7 +100,9 @@
     >,
     private readonly isStoreReader: () => boolean,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.consistency = new ConsistencyChoice(system);
+  }
 
   /** Follows the configuration until stopped. */
   async run(): Promise<void> {
@@ -182,15 +190,16 @@
     const {revision: knownRevision} = this;
     const mustRead = knownRevision === undefined || this.hasLastCallFailed;
     const mode = mustRead ? this.getReadMode() : this.getMode();
+    const consistency = this.consistency.choose(mode.consistency);
     const controller = new AbortController();
     if (!mustRead && mode === FOLLOWER_MODE)
       this.cancelWatch = () => controller.abort();
     const answer = mustRead
-      ? await this.source.readConfiguration(mode.consistency)()
+      ? await this.source.readConfiguration(consistency)()
       : await this.source.watchConfiguration(
           knownRevision,
           this.drawWatchWaitMs(mode),
-          {consistency: mode.consistency, signal: controller.signal},
+          {consistency, signal: controller.signal},
         )();
     this.cancelWatch = () => {};
     if (controller.signal.aborted) return true;
@@ -201,11 +210,14 @@
       });
       return false;
     }
-    const {revision, accepted} = answer.right;
+    const {revision, accepted, isReset = false} = answer.right;
+    const isResetAgain = isReset && this.wasReset;
+    this.wasReset = isReset;
+    if (isReset) this.consistency.recordReset();
     // A serializable answer may be older than one before.
     this.revision = Math.max(revision, knownRevision ?? 0);
     if (accepted !== undefined) this.applyAccepted(accepted);
-    return true;
+    return !isResetAgain;
   }
 
   private applyAccepted(accepted: StoredObject): void {
--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -5,6 +5,8 @@
 
 import {getErrorText} from '@dottereldrift/core/errors.js';
 import type {Log} from '@dottereldrift/core/log.js';
+import type {System} from '@dottereldrift/core/system.js';
+import {ConsistencyChoice} from '@dottereldrift/store/consistency_choice.js';
 import type {
   ObjectChange,
   ObjectStore,
@@ -17,13 +19,19 @@
 /** Reads and watches the store on behalf of a view. */
 export class StoreWatcher {
   private mustLoad = true;
+  /** Whether the last watch found that its history is gone. */
+  private wasReset = false;
+  private readonly consistency: ConsistencyChoice;
   private readonly inFlight = new Map<string, Promise<void>>();
 
   constructor(
+    system: System,
     private readonly store: ObjectStore,
     private readonly view: StoreView,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.consistency = new ConsistencyChoice(system);
+  }
 
   /** Loads the store, or waits up to `waitMs` for changes and applies them; returns false on failure. */
   async tryRefreshView(waitMs: number): Promise<boolean> {
@@ -32,7 +40,7 @@
     const revision = this.view.getRevision();
     // Every decision on an object rests on a conditional update or a vote, never on how current the view is.
     const watched = await this.store.watchObjects('', revision, waitMs, {
-      consistency: 'serializable',
+      consistency: this.consistency.choose('serializable'),
     })();
     if (E.isLeft(watched)) {
       this.log.writeWarning('Cannot watch the store.', {
@@ -40,7 +48,8 @@
       });
       return false;
     }
-    if (watched.right.isReset) return this.tryLoad();
+    if (watched.right.isReset) return this.tryLoadAfterReset(revision);
+    this.wasReset = false;
     if (!(await this.tryReadChanges(watched.right.changes))) return false;
     this.view.setRevision(watched.right.revision);
     this.view.recordContact();
@@ -65,8 +74,27 @@
     return pendingRead;
   }
 
+  /** Loads the store again; returns false also if the load before did not help, so that the caller waits. */
+  private async tryLoadAfterReset(revision: number): Promise<boolean> {
+    const isRepeated = this.wasReset;
+    this.wasReset = true;
+    this.consistency.recordReset();
+    const isLoaded = await this.tryLoad();
+    this.log.writeInfo(
+      'The store has dropped its history; it was read again.',
+      {
+        revision,
+        loadedRevision: this.view.getRevision(),
+        isLoaded,
+        isRepeated,
+      },
+    );
+    return isLoaded && !isRepeated;
+  }
+
   private async tryLoad(): Promise<boolean> {
-    const listed = await this.store.listObjects('', 'serializable')();
+    const consistency = this.consistency.choose('serializable');
+    const listed = await this.store.listObjects('', consistency)();
     if (E.isLeft(listed)) {
       this.log.writeWarning('Cannot read the store.', {
         reason: listed.left.text,
--- a/packages/daemon/src/view_replication.ts
+++ b/packages/daemon/src/view_replication.ts
@@ -30,7 +30,12 @@
   counters: ControlCounters,
   log: Log,
 ): ViewReplication {
-  const watcher = new StoreWatcher(store, view, log.createChild('store'));
+  const watcher = new StoreWatcher(
+    system,
+    store,
+    view,
+    log.createChild('store'),
+  );
   view.setRefresher(key => watcher.refreshObject(key));
   const relayLog = log.createChild('relay');
   const client = new RelayClient(system, view, peers, counters, relayLog);
--- a/packages/daemon/test/coordinator.test.ts
+++ b/packages/daemon/test/coordinator.test.ts
@@ -100,7 +100,7 @@
   readonly system = new ManualSystem();
   readonly store = new RefusingStore(this.system);
   readonly view = new StoreView(this.system, LOG);
-  readonly watcher = new StoreWatcher(this.store, this.view, LOG);
+  readonly watcher = new StoreWatcher(this.system, this.store, this.view, LOG);
   readonly coordinator = new Coordinator(
     this.system,
     this.store,
--- a/packages/daemon/test/relay_fleet.ts
+++ b/packages/daemon/test/relay_fleet.ts
@@ -61,7 +61,7 @@
       createInterruptibleStore(fleet, this),
       new StoreCallCounter(this.counters, {addCount: () => {}}),
     );
-    const watcher = new StoreWatcher(store, this.view, LOG);
+    const watcher = new StoreWatcher(system, store, this.view, LOG);
     const client = new RelayClient(
       system,
       this.view,
--- a/packages/daemon/test/session_manager.test.ts
+++ b/packages/daemon/test/session_manager.test.ts
@@ -42,7 +42,7 @@
   readonly system = new ManualSystem();
   readonly store = new MemoryStore(this.system);
   readonly view = new StoreView(this.system, LOG);
-  readonly watcher = new StoreWatcher(this.store, this.view, LOG);
+  readonly watcher = new StoreWatcher(this.system, this.store, this.view, LOG);
   /** Sequence numbers of the heartbeats that were sent. */
   readonly sent: number[] = [];
   readonly manager = new SessionManager(
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -205,8 +205,10 @@
         options,
       );
       if (E.isLeft(watched)) return watched;
-      if (watched.right === 'gone')
-        return this.readConfiguration(options.consistency)();
+      if (watched.right === 'gone') {
+        const read = await this.readConfiguration()();
+        return E.isLeft(read) ? read : E.right({...read.right, isReset: true});
+      }
       const {events, store_revision: revision} = watched.right;
       const objects = events
         .filter(({removed}) => removed !== true)
