Let full hosts advise other daemons what share of their requests to offer

The class of fault: a limit whose input thins out as the fleet grows.

Change: an owner counts what all daemons want and what it accepts, and while it refuses, each of its responses advises the share to offer (1.5 offers for each accepted one). An offer says for how many requests it stands, withheld ones included.

"owners with free slots get nearly all of their requests while the other owners are full" and the tests of recovery hold.

--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -14,7 +14,9 @@
 import type {AnswerSink} from './exchange.js';
 import {
   CODE_HEADER,
+  formatOfferShare,
   GENERATION_HEADER,
+  OFFER_SHARE_HEADER,
   OUTCOME_HEADER,
   RETRY_AFTER_MS_HEADER,
 } from './headers.js';
@@ -118,6 +120,8 @@
   readonly retryAfterMs: number;
   /** Generation of the assignment known to the owner that responds. */
   readonly generation?: number;
+  /** Share of its requests of this kind that the daemon that asked should offer to this one. */
+  readonly offerShare?: number;
   /** Whether the connection is closed after the response, because the request was not read to its end. */
   readonly isConnectionClosing?: boolean;
 }
@@ -164,6 +168,7 @@
     message,
     retryAfterMs,
     generation,
+    offerShare = 1,
     isConnectionClosing,
   }: Problem,
 ): void {
@@ -182,6 +187,9 @@
     ...(generation === undefined
       ? {}
       : {[GENERATION_HEADER]: String(generation)}),
+    ...(offerShare < 1
+      ? {[OFFER_SHARE_HEADER]: formatOfferShare(offerShare)}
+      : {}),
   });
   response.end();
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -48,6 +48,7 @@
 import type {ListenerDrain} from './listener_drain.js';
 import {LoopMonitor} from './loop_monitor.js';
 import {SliceReleaser} from './slice_releaser.js';
+import {OfferAdvisor} from './offer_advisor.js';
 import {Owner} from './owner.js';
 import type {PeerServiceDependencies} from './peer_listener.js';
 import {PeerBackedStore} from './peer_backed_store.js';
@@ -499,6 +500,7 @@
       platform: this.platform,
       isReady: () => this.isReady(),
       lagGate: this.lagGate,
+      offerAdvisor: new OfferAdvisor(system),
       pacer: this.pacer,
       operators: {store, view, takeover, status, report, survey},
       peers: this.getPeerServiceDependencies(),
--- a/packages/daemon/src/daemon_listeners.ts
+++ b/packages/daemon/src/daemon_listeners.ts
@@ -21,6 +21,7 @@
   addOperatorRoutes,
   type OperatorDependencies,
 } from './operator_listener.js';
+import type {OfferAdvisor} from './offer_advisor.js';
 import type {Owner} from './owner.js';
 import {addPeerRoutes, type PeerServiceDependencies} from './peer_listener.js';
 import {
@@ -70,6 +71,7 @@
   /** Returns whether this daemon accepts requests of callers. */
   readonly isReady: () => boolean;
   readonly lagGate: LagGate;
+  readonly offerAdvisor: OfferAdvisor;
   /** Undefined when this host's responses are not paced. */
   readonly pacer: EgressPacer | undefined;
 }
@@ -165,6 +167,7 @@
     () => operators.view.getManifest(),
     parts.lagGate,
     parts.pacer,
+    parts.offerAdvisor,
   );
 }
 
@@ -238,9 +241,11 @@
   factory: ExchangeFactory,
   routed: RoutedExchangeFactory | undefined,
 ): Promise<FastifyInstance> {
-  const {settings, owner, shutdownGate} = parts;
+  const {settings, owner, shutdownGate, offerAdvisor} = parts;
   const handlePeer: ExchangeHandler = exchange =>
-    shutdownGate.handle(exchange, 'peer', one => owner.handle(one));
+    shutdownGate.handle(exchange, 'peer', one =>
+      offerAdvisor.handle(one, offered => owner.handle(offered)),
+    );
   const app = createListener(settings.limits);
   await addPeerRoutes(app, settings.peerKey, parts.peers);
   addRequestRoutes(
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -10,6 +10,8 @@
 import {
   classifyAnswer,
   classifyFailure,
+  isLoadCode,
+  isRefusedForLoad,
 } from '@dottereldrift/routing/attempt_end.js';
 import {
   type AttemptEnd,
@@ -30,7 +32,10 @@
   RetryBudget,
   type RetryBudgetLimits,
 } from '@dottereldrift/routing/retry_budget.js';
-import {OfferThrottle} from '@dottereldrift/routing/offer_throttle.js';
+import {
+  type Offer,
+  OfferThrottle,
+} from '@dottereldrift/routing/offer_throttle.js';
 import type {
   AttemptFailure,
   Candidate,
@@ -63,13 +68,6 @@
  * full, every further offer takes processor time from the requests that they run.
  */
 const MAX_LOAD_REFUSALS = 4;
-/** Refusals because all slots of a backend server are taken, or the link of its host. */
-const LOAD_CODES: ReadonlySet<MessageCode> = new Set([
-  'DD3011',
-  'DD3012',
-  'DD3025',
-  'DD3035',
-]);
 /**
  * Fraction of the latency goal after which a caller that found all slots taken should retry. Goals are two
  * to four times the usual service time, which leaves enough time to run the request.
@@ -78,6 +76,9 @@
 /** Retry delay advised to a caller whose request found no route. */
 const NO_ROUTE_RETRY_AFTER_MS = 250;
 
+/** An offer whose result has no effect on later ones. */
+const UNTHROTTLED_OFFER: Offer = {requests: 1, end: () => {}};
+
 /** Fleet state that an entry reads. */
 export type RouteView = Pick<
   StoreView,
@@ -168,7 +169,7 @@
           return result;
         }
         failure = addFailureHost(route, result.failure, failure);
-        if (isRefusedForLoad(result)) loadRefusals += 1;
+        if (isRefusedForLoad(result.failure)) loadRefusals += 1;
         const isNew = addTriedHost(route, tried);
         const mayOffer = isNew && loadRefusals < MAX_LOAD_REFUSALS;
         if (mayOffer && this.mayOfferElsewhere(exchange, failure, tried))
@@ -258,32 +259,34 @@
     const {candidate, generation} = route;
     const {service} = exchange.target;
     const {host} = candidate.member;
-    const endOffer = this.startOffer(candidate, exchange);
-    if (endOffer === undefined) return failThrottled(exchange, host);
+    const offer = this.startOffer(candidate, exchange);
+    if (offer === undefined) return failThrottled(exchange, host);
     countOffer(candidate, counts);
     const endAttempt = this.getChoice(service).startAttempt(host);
     let result: AttemptResult | undefined;
     try {
       result = candidate.isLocal
         ? await this.owner.handle(exchange)
-        : await this.forwarder.forward(candidate, exchange, generation);
+        : await this.forwarder.forward(
+            candidate,
+            exchange,
+            generation,
+            offer.requests,
+          );
       return result;
     } finally {
       endAttempt(result === undefined ? 'neutral' : classifyResult(result));
-      endOffer(result !== undefined && isRefusedForLoad(result));
+      endOffer(offer, result);
     }
   }
 
-  /**
-   * Starts an offer and returns the function that ends it; undefined when the offer is throttled because
-   * its host refuses nearly all requests of this kind.
-   */
+  /** Starts an offer; undefined when it is throttled because its host refuses most requests of this kind. */
   private startOffer(
     {isLocal, member}: Candidate,
     {routed, kind}: Exchange,
-  ): ((isRefused: boolean) => void) | undefined {
+  ): Offer | undefined {
     // An offer to this host itself costs no hop between daemons.
-    if (routed === undefined || isLocal) return () => {};
+    if (routed === undefined || isLocal) return UNTHROTTLED_OFFER;
     return this.offerThrottle.startOffer(member.host, kind.name);
   }
 
@@ -392,7 +395,7 @@
   failure: AttemptFailure,
 ): AttemptFailure {
   if (routed === undefined || failure.outcome !== 'not-run') return failure;
-  const leastMs = LOAD_CODES.has(failure.code)
+  const leastMs = isLoadCode(failure.code)
     ? routed.goalMs * LOAD_RETRY_AFTER_SHARE
     : NO_ROUTE_RETRY_AFTER_MS;
   return {...failure, retryAfterMs: Math.max(failure.retryAfterMs, leastMs)};
@@ -406,18 +409,17 @@
   return tried.size > size;
 }
 
+function endOffer(offer: Offer, result: AttemptResult | undefined): void {
+  if (result === undefined) offer.end(false, undefined);
+  else if (result.kind === 'answered') offer.end(false, result.offerShare);
+  else offer.end(isRefusedForLoad(result.failure), result.failure.offerShare);
+}
+
 function countOffer({isLocal}: Candidate, counts: OfferCounts): void {
   counts.offers += 1;
   if (!isLocal) counts.hops += 1;
 }
 
-/** Tells whether the host refused for load, so that it will likely refuse other requests of the kind. */
-function isRefusedForLoad(result: AttemptResult): boolean {
-  if (result.kind === 'answered') return false;
-  const {outcome, code} = result.failure;
-  return outcome === 'not-run' && (LOAD_CODES.has(code) || code === 'DD3034');
-}
-
 /** Adds the host that was tried to a failure; without one, the host of the previous failure. */
 function addFailureHost(
   route: RouteDecision,
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -52,6 +52,11 @@
   readonly answer: AnswerSink;
   /** Set when a route selected the service. */
   readonly routed?: RoutedRequest;
+  /**
+   * Number of requests of another daemon that its offer of this one stands for; undefined for requests of this
+   * daemon's own callers.
+   */
+  readonly offeredRequests?: number;
   /** Signals that the caller has disconnected. */
   readonly abandonment: AbandonmentSignal;
 }
@@ -81,6 +86,8 @@
       readonly isTruncated: boolean;
       /** Response for the idempotency window, when it was to be kept and was complete. */
       readonly kept?: KeptResponse;
+      /** Share of the requests of this kind that the daemon that responded advises to offer to it. */
+      readonly offerShare?: number;
     }
   | {readonly kind: 'failed'; readonly failure: AttemptFailure};
 
--- a/packages/daemon/src/forwarder.ts
+++ b/packages/daemon/src/forwarder.ts
@@ -27,6 +27,8 @@
   getHeader,
   type HeaderList,
   type HeaderMap,
+  OFFER_SHARE_HEADER,
+  OFFERED_REQUESTS_HEADER,
   OUTCOME_HEADER,
   FORWARDED_AUTHORIZATION_HEADER,
   REMAINING_HEADER,
@@ -50,6 +52,8 @@
     candidate: Candidate,
     exchange: Exchange,
     generation: number,
+    /** Number of requests that the offer stands for. */
+    offeredRequests?: number,
   ): Promise<AttemptResult>;
   close(): Promise<void>;
 }
@@ -68,15 +72,25 @@
     this.authorization = `Bearer ${peerKey}`;
   }
 
-  forward(
+  async forward(
     candidate: Candidate,
     exchange: Exchange,
     generation: number,
+    offeredRequests = 1,
   ): Promise<AttemptResult> {
     const nowMs = this.system.getNow().monotonicMs;
     const remainingMs = Math.max(0, Math.round(exchange.deadlineAtMs - nowMs));
     const {routed} = exchange;
-    return sendAttempt(this.system, {
+    let offerShare: number | undefined;
+    const headers = this.createHeaders(
+      exchange,
+      generation,
+      remainingMs,
+      nowMs,
+    );
+    if (offeredRequests > 1)
+      headers.push(OFFERED_REQUESTS_HEADER, String(offeredRequests));
+    const result = await sendAttempt(this.system, {
       dispatcher: this.getPool(candidate.peerAddress),
       peerName: candidate.member.host,
       method: exchange.method,
@@ -84,17 +98,25 @@
         routed === undefined
           ? formatTarget(exchange.target)
           : `${ROUTED_PATH_PREFIX}${exchange.target.path}`,
-      headers: this.createHeaders(exchange, generation, remainingMs, nowMs),
+      headers,
       body: exchange.body,
       expiresAtMs: exchange.deadlineAtMs + OWNER_RESPONSE_GRACE_MS,
       deadlineMs: getDeadlineMs(exchange),
       abandonment: exchange.abandonment,
       answer: exchange.answer,
-      readFailure: (_status, headers) =>
-        readPeerFailure(headers, candidate.member.host, exchange),
+      readFailure: (_status, answerHeaders) => {
+        offerShare = readOfferShare(answerHeaders);
+        return readPeerFailure(answerHeaders, candidate.member.host, exchange);
+      },
       answerHeaders: createAnswerHeaders(exchange, generation),
       maxKeptBytes: 0,
     });
+    if (result.kind === 'answered')
+      return offerShare === undefined ? result : {...result, offerShare};
+    const {failure} = result;
+    return offerShare === undefined
+      ? result
+      : {kind: 'failed', failure: {...failure, offerShare}};
   }
 
   /** Returns the headers of the request itself and those that daemons add for each other. */
@@ -180,6 +202,12 @@
   return Math.round(exchange.deadlineAtMs - exchange.receivedAt.monotonicMs);
 }
 
+/** Reads the share of requests that the peer advises to offer to it; 1 if it gives no valid advice. */
+function readOfferShare(headers: HeaderMap): number {
+  const share = Number(getHeader(headers, OFFER_SHARE_HEADER) ?? 1);
+  return share >= 0 && share <= 1 ? share : 1;
+}
+
 function readPeerFailure(
   headers: HeaderMap,
   host: string,
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -23,6 +23,10 @@
 export const FIRST_GENERATION_HEADER = 'dottereldrift-first-generation';
 /** Service, kind and key that a route selected, sent from the entry to the owner. */
 export const ROUTED_HEADER = 'dottereldrift-routed';
+/** Number of requests that an offer to another daemon stands for; 1 if absent. */
+export const OFFERED_REQUESTS_HEADER = 'dottereldrift-offered-requests';
+/** Share of its requests of a kind that a daemon should offer to the one that responds; 1 if absent. */
+export const OFFER_SHARE_HEADER = 'dottereldrift-offer-share';
 /** Start of the slice that a request belongs to. */
 export const SLICE_HEADER = 'dottereldrift-slice';
 /** Fencing token of the slice. */
@@ -43,6 +47,11 @@
 /** Generation by which an embedded client first routed the request. */
 export const FIRST_GENERATION_CALLER_HEADER = 'request-first-generation';
 
+/** Formats a share for its header. */
+export function formatOfferShare(share: number): string {
+  return share.toFixed(3);
+}
+
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'expect',
--- a/packages/daemon/src/request_body.ts
+++ b/packages/daemon/src/request_body.ts
@@ -22,6 +22,8 @@
 export interface RequestRejection {
   readonly status: number;
   readonly message: Message;
+  /** Share of its requests of this kind that the daemon that asked should offer to this one. */
+  readonly offerShare?: number;
 }
 
 /** Reads a body; one that is buffered must arrive within the deadline. */
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -224,7 +224,7 @@
   const {create, handle, observe} = pipeline;
   const created = await create(request, response);
   if (E.isLeft(created)) {
-    const {status, message} = created.left;
+    const {status, message, offerShare} = created.left;
     pipeline.writeProblem(response, {
       status,
       outcome: 'not-run',
@@ -232,6 +232,7 @@
       retryAfterMs:
         status === SERVICE_UNAVAILABLE ? SERVICE_UNAVAILABLE_RETRY_AFTER_MS : 0,
       isConnectionClosing: !request.complete,
+      ...(offerShare === undefined ? {} : {offerShare}),
     });
     return;
   }
@@ -288,13 +289,15 @@
 }
 
 function createProblem(failure: AttemptFailure): Problem {
-  const {outcome, code, text, retryAfterMs, ownerGeneration} = failure;
+  const {outcome, code, text, retryAfterMs, ownerGeneration, offerShare} =
+    failure;
   return {
     status: chooseStatus(failure),
     outcome,
     message: {code, text},
     retryAfterMs,
     ...(ownerGeneration === undefined ? {} : {generation: ownerGeneration}),
+    ...(offerShare === undefined ? {} : {offerShare}),
   };
 }
 
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -31,11 +31,14 @@
 import {
   filterHeaders,
   getHeader,
+  type HeaderMap,
+  OFFERED_REQUESTS_HEADER,
   REMAINING_HEADER,
   ROUTED_HEADER,
 } from './headers.js';
 import type {RequestSource} from './exchange_factory.js';
 import type {LagGate} from './lag_gate.js';
+import type {OfferAdvisor} from './offer_advisor.js';
 import {
   type RequestRejection,
   hasDisconnected,
@@ -61,6 +64,8 @@
 }
 
 const ENVELOPE_FIELDS = 7;
+/** Bounds the effect of one offer on the advice for all. */
+const MAX_OFFERED_REQUESTS = 100;
 const IDEMPOTENT_MARK = '1';
 
 const OVERLOADED: RequestRejection = {
@@ -84,6 +89,8 @@
   readonly kind: RequestKind;
   readonly routed: RoutedRequest;
   readonly deadlineMs: number;
+  /** Set if another daemon offered the request. */
+  readonly offeredRequests?: number;
 }
 
 /** Creates exchanges from routed requests. */
@@ -104,6 +111,7 @@
       'tryAdmit' | 'observeStart'
     > = OPEN_GATE,
     private readonly pacer?: EgressPacer,
+    private readonly advisor?: Pick<OfferAdvisor, 'refuseUnread'>,
   ) {
     this.turns = new RequestStartQueue(system);
   }
@@ -137,14 +145,15 @@
     source: RequestSource,
   ): Promise<E.Either<RequestRejection, Exchange>> {
     if (!this.lagGate.tryAdmit(source, this.turns.getOldestWaitMs()))
-      return E.left(OVERLOADED);
+      return E.left(this.createOverloaded(selected));
     if (E.isLeft(selected)) return selected;
     const receivedAt = this.system.getNow();
     const abandonment = watchAbandonment(request, response);
-    const {target, rules, kind, routed, deadlineMs} = selected.right;
+    const {target, rules, kind, routed, deadlineMs, offeredRequests} =
+      selected.right;
     if (await hasDisconnected(request)) return E.left(DISCONNECTED);
     if (!this.lagGate.tryAdmit(source, await this.turns.waitForTurn()))
-      return E.left(OVERLOADED);
+      return E.left(this.createOverloaded(selected));
     if (isDisconnected(request)) return E.left(DISCONNECTED);
     this.lagGate.observeStart(source);
     const body = await readBody(this.system, this.limits, request, deadlineMs);
@@ -154,6 +163,7 @@
       rules,
       kind,
       routed,
+      ...(offeredRequests === undefined ? {} : {offeredRequests}),
       method: request.method ?? 'GET',
       headers: filterHeaders(request.headers),
       body: body.right,
@@ -238,9 +248,21 @@
       kind: createOwnerKind(envelope.kind, deadlineMs),
       routed: {protocol: this.protocol, authority, requestId, origin, goalMs},
       deadlineMs,
+      offeredRequests: readOfferedRequests(request.headers),
     });
   }
 
+  private createOverloaded(
+    selected: E.Either<RequestRejection, SelectedRoute>,
+  ): RequestRejection {
+    if (E.isLeft(selected)) return OVERLOADED;
+    const {kind, offeredRequests} = selected.right;
+    if (this.advisor === undefined || offeredRequests === undefined)
+      return OVERLOADED;
+    const offerShare = this.advisor.refuseUnread(kind.name, offeredRequests);
+    return {...OVERLOADED, offerShare};
+  }
+
   private getSelector(manifest: Manifest): RouteSelector {
     if (this.selector === undefined || this.selectorManifest !== manifest) {
       this.selector = new RouteSelector(manifest);
@@ -267,6 +289,14 @@
   };
 }
 
+/** Reads the number of requests that an offer stands for; 1 if it is absent or malformed. */
+function readOfferedRequests(headers: HeaderMap): number {
+  const requests = Number(getHeader(headers, OFFERED_REQUESTS_HEADER) ?? 1);
+  return Number.isSafeInteger(requests) && requests > 0
+    ? Math.min(requests, MAX_OFFERED_REQUESTS)
+    : 1;
+}
+
 /** Formats the header value by which the selection of a routed request is sent to its owner. */
 export function formatEnvelope(
   {service}: RequestTarget,
--- a/packages/daemon/test/offer_load.test.ts
+++ b/packages/daemon/test/offer_load.test.ts
@@ -9,7 +9,11 @@
 import {VirtualSystem} from '@dottereldrift/core/virtual_system.js';
 import {ADAPTIVE_OPTIONS} from '@dottereldrift/limits/adaptive_options.js';
 import {AdaptivePolicy} from '@dottereldrift/limits/adaptive_policy.js';
-import {OfferThrottle} from '@dottereldrift/routing/offer_throttle.js';
+import {OfferMeter} from '@dottereldrift/routing/offer_meter.js';
+import {
+  type Offer,
+  OfferThrottle,
+} from '@dottereldrift/routing/offer_throttle.js';
 
 const KIND = 'check';
 const HOST = 'owner';
@@ -20,6 +24,7 @@
 const CLIENT_DELAY_MS = 8;
 const DURATION_MS = 20_000;
 const LATE_UTILITY = 0.3;
+const UNTHROTTLED_OFFER: Offer = {requests: 1, end: () => {}};
 /** Maximum number of times that a caller sends a request. */
 const MAX_TRIES = 3;
 const SEEDS = [1, 2, 3];
@@ -76,6 +81,7 @@
     {length: load.entries},
     () => new OfferThrottle(system),
   );
+  const meter = new OfferMeter(system);
   let offers = 0;
   let served = 0;
   const attainable = [0, 0, 0];
@@ -90,14 +96,17 @@
       const atMs = RETRY_AFTER_MS + 2 * CLIENT_DELAY_MS;
       system.startTimer(atMs, () => offer(sentMs, entry, third, tries + 1));
     };
-    const end = load.isThrottled
+    const started = load.isThrottled
       ? throttle?.startOffer(HOST, KIND)
-      : () => undefined;
-    if (end === undefined) {
+      : UNTHROTTLED_OFFER;
+    if (started === undefined) {
       retryLater();
       return;
     }
     offers += 1;
+    const withdraw = meter.observeOffer(KIND, started.requests);
+    const end = (isRefused: boolean) =>
+      started.end(isRefused, meter.getAdvisedShare(KIND));
     processor.run(load.offerMs, () => {
       policy.requestSlot({
         kind: KIND,
@@ -122,6 +131,7 @@
           });
         },
         onRefuse: () => {
+          withdraw();
           end(true);
           retryLater();
         },
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -45,6 +45,8 @@
   readonly retryAfterMs: number;
   /** Generation known to the host that refused because it does not own the key. */
   readonly ownerGeneration?: number;
+  /** Share of the requests of this kind that the refusing host advises to offer to it; undefined if unknown. */
+  readonly offerShare?: number;
   /** Host of the last attempt, if there was one. */
   readonly host?: HostName;
 }
