Pass on no response whose status is outside 100 to 599

Checked here with a server that sends such a response and keeps its connection open: 000, 001 and 099 ended as unknown (502), by an assertion of the HTTP library that closes the connection; 600 and 999 reached the caller as answers.

Cause: the parser of the HTTP library takes any three digits for a status, and the attempt passed on what is 200 or more.

Change: an attempt ends as unknown and closes the connection when the status is outside 100 to 599, at the owner and at the entry, before anything is written to the caller. The library's assertion is not relied on any more.

Evidence: "a response with the status ... never reaches the caller: unknown" for 000, 001, 099, 600 and 999; on the tests of 600 and 999 failed ("answered 600, answer whole: ok"), those below 100 passed by the assertion. Looked for elsewhere: the clients of the store and of the routing table compare statuses with those they know; a response of Node's own server cannot have a status outside 100 to 999.

--- a/packages/daemon/src/http_attempt.ts
+++ b/packages/daemon/src/http_attempt.ts
@@ -143,6 +143,12 @@
     status: number,
     headers: HeaderMap,
   ): void {
+    if (!isValidStatus(status)) {
+      const error = new Error(`the response has the invalid status ${status}`);
+      this.failure = this.createFailure(error);
+      controller.abort(error);
+      return;
+    }
     if (status < 200) {
       this.interimResponses += 1;
       if (this.interimResponses > MAX_INTERIM_RESPONSES)
@@ -361,6 +367,11 @@
   }
 }
 
+/** Returns whether HTTP defines the class of a status; the HTTP library's parser accepts any three digits. */
+function isValidStatus(status: number): boolean {
+  return status >= 100 && status < 600;
+}
+
 /**
  * Tells whether a connection stays open after its response. The HTTP library fails when a connection ends
  * while reading is paused, so a response that ends its connection is read without pausing: what the caller
--- a/packages/daemon/test/http_attempt.test.ts
+++ b/packages/daemon/test/http_attempt.test.ts
@@ -317,6 +317,21 @@
   });
 }
 
+for (const status of ['000', '001', '099', '600', '999']) {
+  test(`a response with the status ${status} never reaches the caller: unknown`, async t => {
+    const answer = `HTTP/1.1 ${status} X\r\ncontent-length: 2\r\n\r\nok`;
+    const fixture = new AttemptFixture((socket, text) => {
+      // The connection stays open, so that only the status can end the request.
+      if (isWholeRequest(text)) socket.write(answer);
+    });
+    const pool = await fixture.start();
+    const result = await fixture.send(pool);
+    t.is(formatResult(result, fixture.sink), 'unknown DD3009, answer none');
+    if (result.kind === 'failed') t.regex(result.failure.text, /status/);
+    await fixture.stop();
+  });
+}
+
 test('trailers are relayed without internal names', async t => {
   const fixture = await expectOutcome(
     t,
