Move slices only to owners with spare capacity, and count withheld requests as load

Cause: the planner balanced loads that are all above the capacities (35 owners at 20 to 67 requests a second, capacities of 20 to 36). Such a move changes which requests are refused, and keeps its keys without a server until the next heartbeat of the new owner's server. The class of fault: balancing for its own sake under overload.

Change: a slice moves for balance only to an owner whose load is below the capacity of its server. So that a hot owner whose advice makes entries withhold requests still shows its true load, an admitted offer counts as all the requests that it stands for; it is a random sample of them.

--- a/packages/bench/src/placement_main.ts
+++ b/packages/bench/src/placement_main.ts
@@ -93,7 +93,7 @@
   for (let index = 0; index < positions.length; index++) {
     const position = positions[index] ?? 0;
     const slice = slices[findSliceIndex(slices, position)];
-    meter.addRequest(slice?.start ?? 0, position, index / 10);
+    meter.addRequests(slice?.start ?? 0, position, 1, index / 10);
   }
   const elapsedMs = performance.now() - startMs;
   return (elapsedMs * NS_PER_MS) / COUNTED_REQUESTS;
--- a/packages/bench/src/placement_policies.ts
+++ b/packages/bench/src/placement_policies.ts
@@ -123,7 +123,9 @@
     const slices = this.current?.slices ?? [];
     const slice = slices[findSliceIndex(slices, position)];
     if (slice?.owner === undefined) return;
-    this.meters.get(slice.owner.host)?.addRequest(slice.start, position, nowMs);
+    this.meters
+      .get(slice.owner.host)
+      ?.addRequests(slice.start, position, 1, nowMs);
   }
 
   plan(nowMs: number): void {
--- a/packages/daemon/src/admission.ts
+++ b/packages/daemon/src/admission.ts
@@ -29,11 +29,15 @@
   readonly state: ServiceState;
 }
 
-/** Called for each request that is admitted to a slice, which is given by its start. */
+/**
+ * Called for each request that is admitted to a slice, which is given by its start. `count` includes requests that
+ * another daemon withheld, of which the admitted one is a random sample.
+ */
 export type AdmissionListener = (
   service: ServiceName,
   start: number,
   position: number,
+  count: number,
 ) => void;
 
 /** Called for each request that is refused a slot. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -325,8 +325,8 @@
       settings.loadPace,
       service => this.registry.getServer(service)?.policy.getCapacity(),
     );
-    this.owner.setAdmissionListener((service, start, position) => {
-      this.loadReporter.addRequest(service, start, position);
+    this.owner.setAdmissionListener((service, start, position, count) => {
+      this.loadReporter.addRequests(service, start, position, count);
     });
     const refusalLog = new RefusalLog(system, this.log.createChild('slots'));
     this.owner.setRefusalListener((exchange, refusal) => {
--- a/packages/daemon/src/load_reporter.ts
+++ b/packages/daemon/src/load_reporter.ts
@@ -68,9 +68,14 @@
   ) {}
 
   /** Counts a request that was admitted to the slice with the given start. */
-  addRequest(service: ServiceName, start: number, position: number): void {
+  addRequests(
+    service: ServiceName,
+    start: number,
+    position: number,
+    count: number,
+  ): void {
     const nowMs = this.system.getNow().monotonicMs;
-    this.meters.get(service)?.meter.addRequest(start, position, nowMs);
+    this.meters.get(service)?.meter.addRequests(start, position, count, nowMs);
   }
 
   /** Updates the measured slices from an assignment that is newer than the last one. */
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -288,7 +288,8 @@
     ) {
       return createNotRunFailure('DD3005', SHORT_RETRY_MS);
     }
-    this.onAdmission(service, answer.slice.start, position);
+    const {offeredRequests = 1} = exchange;
+    this.onAdmission(service, answer.slice.start, position, offeredRequests);
     return {exchange, server, slice: answer.slice, position, state};
   }
 
--- a/packages/daemon/test/load_reporter.test.ts
+++ b/packages/daemon/test/load_reporter.test.ts
@@ -85,7 +85,7 @@
       this.system.runUntil(startMs + passedMs);
       for (let turn = 0; turn < 10; turn++) await Promise.resolve();
       for (; requests < (passedMs * requestsPerSecond) / 1_000; requests++)
-        this.reporter.addRequest('menu', 0, requests % 97);
+        this.reporter.addRequests('menu', 0, requests % 97, 1);
     }
   }
 
@@ -164,7 +164,7 @@
   );
   reporter.applyAssignment(ASSIGNMENT);
   void reporter.run();
-  reporter.addRequest('menu', 0, 1);
+  reporter.addRequests('menu', 0, 1, 1);
   system.shift(LOAD_SETTINGS.reportMs);
   for (let turn = 0; turn < 5; turn++) await Promise.resolve();
   t.is(reports, 1);
--- a/packages/ownership/src/load_meter.ts
+++ b/packages/ownership/src/load_meter.ts
@@ -69,14 +69,19 @@
     this.startedAtMs = nowMs;
   }
 
-  /** Counts a request at a position in the slice that begins at `start`. */
-  addRequest(start: number, position: number, nowMs: number): void {
+  /** Counts requests at a position in the slice that begins at `start`. */
+  addRequests(
+    start: number,
+    position: number,
+    count: number,
+    nowMs: number,
+  ): void {
     if (nowMs - this.weightUpdatedAtMs >= WEIGHT_INTERVAL_MS)
       this.updateWeight(nowMs);
     const counter = this.counters.get(start);
     if (counter === undefined) return;
-    counter.bins.addWeight(position, this.weight);
-    this.sketch.addWeight(position, this.weight);
+    counter.bins.addWeight(position, this.weight * count);
+    this.sketch.addWeight(position, this.weight * count);
   }
 
   /** Applies a new assignment. Slices that were split or merged keep their counts. */
--- a/packages/ownership/src/move_plan.ts
+++ b/packages/ownership/src/move_plan.ts
@@ -7,6 +7,7 @@
 
 import {
   getRelativeLoad,
+  hasSpareCapacity,
   isDonorCandidate,
   isJoining,
   type OwnerLoad,
@@ -163,20 +164,20 @@
     const exhausted = new Set<OwnerLoad>();
     while (this.hasMoveCapacity()) {
       const receiver = this.loads.getLeastLoaded();
-      const donors = this.loads.listByLoad();
-      const highest = donors[0];
-      if (highest === undefined) return;
+      if (!hasSpareCapacity(receiver)) return;
       const isReceiverUnderloaded =
         getRelativeLoad(receiver) < 1 - this.maxDeviation;
       // An owner that has just joined gets its share even if no other owner is busy.
       const isReceiverJoining = isReceiverUnderloaded && isJoining(receiver);
       const minLoad = isReceiverUnderloaded ? 1 : 1 + this.maxDeviation;
-      const donor = donors.find(
-        owner =>
-          !exhausted.has(owner) &&
-          (isReceiverJoining || isDonorCandidate(owner)) &&
-          getRelativeLoad(owner) >= minLoad,
-      );
+      const donor = this.loads
+        .listByLoad()
+        .find(
+          owner =>
+            !exhausted.has(owner) &&
+            (isReceiverJoining || isDonorCandidate(owner)) &&
+            getRelativeLoad(owner) >= minLoad,
+        );
       if (donor === undefined || donor === receiver) return;
       const index = this.findBestSlice(donor, receiver);
       if (index === undefined) exhausted.add(donor);
--- a/packages/ownership/src/owner_loads.ts
+++ b/packages/ownership/src/owner_loads.ts
@@ -42,6 +42,14 @@
   return capacity === undefined || rate >= capacity * MIN_DONOR_UTILIZATION;
 }
 
+/**
+ * Returns whether the server of an owner can process more requests than it gets; true if its capacity is unknown.
+ * While it cannot, moving slices to it only changes which requests are refused.
+ */
+export function hasSpareCapacity({rate, capacity}: OwnerLoad): boolean {
+  return capacity === undefined || rate < capacity;
+}
+
 /** Returns the load relative to the fair load; 1 is exactly the fair share. */
 export function getRelativeLoad({rate, fairRate}: OwnerLoad): number {
   return rate / fairRate;
--- a/packages/ownership/test/hot_range.test.ts
+++ b/packages/ownership/test/hot_range.test.ts
@@ -102,7 +102,7 @@
       const slice = findSlice(assignment.slices, position);
       meters
         .find(({member}) => member.host === slice?.owner?.host)
-        ?.meter.addRequest(slice?.start ?? 0, position, nowMs);
+        ?.meter.addRequests(slice?.start ?? 0, position, 1, nowMs);
     });
     busiest.push(countBusiest(assignment, keys) / fairCount);
     const nowMs = startMs + timing.reportMs;
--- a/packages/ownership/test/load_meter.test.ts
+++ b/packages/ownership/test/load_meter.test.ts
@@ -46,7 +46,7 @@
     const position =
       index % 4 === 0 ? HOT_POSITION : (slice?.start ?? 0) + index;
     const start = findSlice(slices, position)?.start ?? 0;
-    meter.addRequest(start, position, nowMs);
+    meter.addRequests(start, position, 1, nowMs);
   }
 }
 
--- a/packages/ownership/test/placement.test.ts
+++ b/packages/ownership/test/placement.test.ts
@@ -327,6 +327,24 @@
   t.true(joined.length >= slices.length / 4, `${joined.length}`);
 });
 
+test('no slices move for balance to an owner whose server has no spare capacity', t => {
+  const members = createMembers(4);
+  const present = planUntilStable(createInput(members));
+  const segments = present.slices.map(({start, owner}) => ({
+    start,
+    rate: owner?.host === 'h1' ? 20 : 10,
+  }));
+  const profile = {segments, hotPositions: []};
+  const plan = (capacity: number) => {
+    const capacities = new Map(members.map(({host}) => [host, capacity]));
+    const input = createInput(members, {present, profile, capacities});
+    const next = planAssignment(input);
+    return next === undefined ? 0 : listMoving(next).length;
+  };
+  t.is(plan(100), 0, 'all owners are overloaded');
+  t.true(plan(200) > 0, 'one owner is overloaded');
+});
+
 test('owners that join together all get their shares although few slices may move at once', t => {
   const members = createMembers(35);
   const present = planUntilStable(createInput(members.slice(0, 22)));
