Refuse callers before other daemons while the event loop lags

Cause: a daemon whose event loop lags by more than 100 ms refused all that it read, whatever it was for. Of a request that another daemon forwards, half of the work is done, and a call of a backend server holds a slot of its caller: refusing it fails a run, whose request comes back. The class of fault: shedding work by when it is read instead of by what is lost.

Change: requests of callers are refused above 100 ms of lag as before, those of other daemons above 300 ms, the shortest deadline of requests between servers.

--- a/packages/daemon/src/lag_gate.ts
+++ b/packages/daemon/src/lag_gate.ts
@@ -1,7 +1,8 @@
 /**
  * Refuses requests that this daemon reads too late, because its event loop lags, and logs once a second how many
  * were refused and started and what the processor did meanwhile. The requests themselves are not read, so no other
- * line shows them.
+ * line shows them. Requests of callers are refused before those of other daemons, in which work has been invested
+ * already: another daemon's, and often that of a server whose run waits for the response.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import type {System} from '@dottereldrift/core/system.js';
@@ -10,6 +11,14 @@
 import type {LoopMonitor} from './loop_monitor.js';
 import type {RequestTally} from './request_tally.js';
 
+/** Lag above which requests of callers are refused: half of the shortest response time goal of the users. */
+const MAX_CALLER_LAG_MS = 100;
+/** Lag above which requests of other daemons are refused: the shortest deadline of requests between servers. */
+const MAX_PEER_LAG_MS = 300;
+const MAX_LAG_MS: Readonly<Record<RequestSource, number>> = {
+  caller: MAX_CALLER_LAG_MS,
+  peer: MAX_PEER_LAG_MS,
+};
 const REPORT_INTERVAL_MS = 1_000;
 const US_PER_MS = 1_000;
 
@@ -29,18 +38,18 @@
 
   constructor(
     private readonly system: System,
-    private readonly monitor: Pick<LoopMonitor, 'isLagging' | 'getLagMs'>,
+    private readonly monitor: Pick<LoopMonitor, 'getLagMs'>,
     private readonly tally: Pick<RequestTally, 'observeUnread'>,
     private readonly log: Log,
   ) {}
 
   /** Returns false, and counts a refusal, if a request that has waited in this process is read too late. */
   tryAdmit(source: RequestSource, waitedMs: number): boolean {
-    if (!this.monitor.isLagging(waitedMs)) return true;
+    const lagMs = Math.max(waitedMs, this.monitor.getLagMs());
+    if (lagMs <= MAX_LAG_MS[source]) return true;
     this.tally.observeUnread('DD3034');
     const interval = this.getInterval();
     interval.refused[source] += 1;
-    const lagMs = Math.max(waitedMs, this.monitor.getLagMs());
     interval.maxLagMs = Math.max(interval.maxLagMs, lagMs);
     return false;
   }
--- a/packages/daemon/src/loop_monitor.ts
+++ b/packages/daemon/src/loop_monitor.ts
@@ -9,8 +9,6 @@
 
 /** Each sample costs a timer. */
 const SAMPLE_INTERVAL_MS = 50;
-/** Requests are refused above this lag: half of the shortest response time goal of the users. */
-const MAX_LAG_MS = 100;
 const TAIL_PERCENTILE = 99;
 /** Lags are stored in microseconds, so that those below a millisecond count too. */
 const US_PER_MS = 1_000;
@@ -46,14 +44,6 @@
     this.cancel();
   }
 
-  /**
-   * Returns whether requests that are read now, or have been queued in this process for `waitedMs`, have
-   * waited too long to be started.
-   */
-  isLagging(waitedMs = 0): boolean {
-    return Math.max(waitedMs, this.getLagMs()) > MAX_LAG_MS;
-  }
-
   /** Returns the larger of the last sampled lag and the lag at this moment. */
   getLagMs(): number {
     return Math.max(this.lagMs, this.computeLagMs());
