Delete the counts of offers of kinds that no longer occur

Cause: found while reading the change: the counts that a host keeps of the offers it receives, by kind of request, were never deleted.

Change: the throttle's own expiry is a class of its own (ExpiringRecords), which both use.

--- a/packages/routing/src/offer_meter.ts
+++ b/packages/routing/src/offer_meter.ts
@@ -5,6 +5,7 @@
  */
 import type {System} from '@dottereldrift/core/system.js';
 
+import {ExpiringRecords} from './expiring_records.js';
 import {OfferCounts} from './offer_counts.js';
 
 /** Offers per accepted offer; the surplus keeps the queue of the host full. */
@@ -22,9 +23,14 @@
 
 /** Counts of the offers that a host receives. */
 export class OfferMeter {
-  private readonly kinds = new Map<string, KindRecord>();
+  private readonly kinds: ExpiringRecords<KindRecord>;
 
-  constructor(private readonly system: System) {}
+  constructor(private readonly system: System) {
+    this.kinds = new ExpiringRecords(system, nowMs => ({
+      counts: new OfferCounts(HALF_LIFE_MS, nowMs),
+      refusedAtMs: -Infinity,
+    }));
+  }
 
   /**
    * Records an offer and the number of requests of its sender that it stands for, including those that the sender
@@ -32,7 +38,7 @@
    */
   observeOffer(kind: string, requests: number): () => void {
     const startedAtMs = this.getNowMs();
-    const record = this.getRecord(kind, startedAtMs);
+    const record = this.kinds.getRecord(kind);
     const {counts} = record;
     counts.addRequests(requests, startedAtMs);
     counts.addAccepted(startedAtMs);
@@ -45,24 +51,13 @@
   /** Returns the share of its requests of a kind, at most 1, that a daemon should offer to this host. */
   getAdvisedShare(kind: string): number {
     const nowMs = this.getNowMs();
-    const {counts, refusedAtMs} = this.getRecord(kind, nowMs);
+    const {counts, refusedAtMs} = this.kinds.getRecord(kind);
     if (nowMs - refusedAtMs > FULL_MEMORY_MS) return 1;
     const welcome =
       MAX_OFFERS_PER_ACCEPTED * counts.getAccepted(nowMs) + MIN_OFFERS;
     return Math.min(1, welcome / Math.max(welcome, counts.getRequests(nowMs)));
   }
 
-  private getRecord(kind: string, nowMs: number): KindRecord {
-    const existing = this.kinds.get(kind);
-    if (existing !== undefined) return existing;
-    const record = {
-      counts: new OfferCounts(HALF_LIFE_MS, nowMs),
-      refusedAtMs: -Infinity,
-    };
-    this.kinds.set(kind, record);
-    return record;
-  }
-
   private getNowMs(): number {
     return this.system.getNow().monotonicMs;
   }
--- a/packages/routing/src/offer_throttle.ts
+++ b/packages/routing/src/offer_throttle.ts
@@ -6,6 +6,7 @@
  */
 import type {System} from '@dottereldrift/core/system.js';
 
+import {ExpiringRecords} from './expiring_records.js';
 import {OfferCounts} from './offer_counts.js';
 
 /** Offers per recently accepted offer; the surplus keeps the queue of the host full. */
@@ -16,9 +17,6 @@
 const HALF_LIFE_MS = 300;
 /** Time over which the advice of a host loses its effect, unless a response renews it. */
 const ADVICE_LIFE_MS = 3_000;
-/** Time without requests after which a record is deleted. */
-const IDLE_EXPIRY_MS = 10_000;
-const SWEEP_INTERVAL_MS = 10_000;
 
 interface OfferRecord {
   readonly counts: OfferCounts;
@@ -27,7 +25,6 @@
   /** Share of the requests that the host last advised to offer. */
   advisedShare: number;
   advisedAtMs: number;
-  seenAtMs: number;
 }
 
 /** An offer of a request to a host. */
@@ -43,10 +40,16 @@
 
 /** Throttles offers by host and kind of request. */
 export class OfferThrottle {
-  private readonly records = new Map<string, OfferRecord>();
-  private sweptAtMs = 0;
+  private readonly records: ExpiringRecords<OfferRecord>;
 
-  constructor(private readonly system: System) {}
+  constructor(private readonly system: System) {
+    this.records = new ExpiringRecords(system, nowMs => ({
+      counts: new OfferCounts(HALF_LIFE_MS, nowMs),
+      withheld: 0,
+      advisedShare: 1,
+      advisedAtMs: nowMs,
+    }));
+  }
 
   /**
    * Records a request for a host. Returns undefined if it must not be offered. Until an offer ends it counts as
@@ -54,7 +57,7 @@
    */
   startOffer(host: string, kind: string): Offer | undefined {
     const startedAtMs = this.getNowMs();
-    const record = this.getRecord(host, kind, startedAtMs);
+    const record = this.records.getRecord(`${host} ${kind}`);
     const {counts} = record;
     const share = Math.min(
       computeShare(counts, startedAtMs),
@@ -80,32 +83,6 @@
     };
   }
 
-  private getRecord(host: string, kind: string, nowMs: number): OfferRecord {
-    this.dropIdle(nowMs);
-    const key = `${host} ${kind}`;
-    const existing = this.records.get(key);
-    if (existing !== undefined) {
-      existing.seenAtMs = nowMs;
-      return existing;
-    }
-    const record = {
-      counts: new OfferCounts(HALF_LIFE_MS, nowMs),
-      withheld: 0,
-      advisedShare: 1,
-      advisedAtMs: nowMs,
-      seenAtMs: nowMs,
-    };
-    this.records.set(key, record);
-    return record;
-  }
-
-  private dropIdle(nowMs: number): void {
-    if (nowMs - this.sweptAtMs < SWEEP_INTERVAL_MS) return;
-    this.sweptAtMs = nowMs;
-    for (const [key, {seenAtMs}] of this.records)
-      if (nowMs - seenAtMs >= IDLE_EXPIRY_MS) this.records.delete(key);
-  }
-
   private getNowMs(): number {
     return this.system.getNow().monotonicMs;
   }
