--- a/packages/daemon/src/lag_gate.ts
+++ b/packages/daemon/src/lag_gate.ts
@@ -13,7 +13,10 @@
 
 /** Lag above which requests of callers are refused: half of the shortest response time goal of the users. */
 const MAX_CALLER_LAG_MS = 100;
-/** Lag above which requests of other daemons are refused: the shortest deadline of requests between servers. */
+/**
+ * Lag above which requests of other daemons are refused. The deadlines of requests between servers are 200 to 600 ms
+ * at the users; a lag beyond this leaves most of them no time.
+ */
 const MAX_PEER_LAG_MS = 300;
 const MAX_LAG_MS: Readonly<Record<RequestSource, number>> = {
   caller: MAX_CALLER_LAG_MS,
--- a/packages/routing/src/offer_meter.ts
+++ b/packages/routing/src/offer_meter.ts
@@ -12,6 +12,7 @@
 const MAX_OFFERS_PER_ACCEPTED = 1.5;
 /** Recent offers that are always welcome, so that a host that accepts nothing shows when it does again. */
 const MIN_OFFERS = 1;
+/** Half-life of the counts. */
 const HALF_LIFE_MS = 300;
 /** Time after the last refusal of an offer from which a host counts as free again. */
 const FULL_MEMORY_MS = 200;
