Log each configuration that is read and not put into effect

The line gives generation and version of both, the one read and the one in effect. At most one a read of the store; none while both have the same generation.

--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -9,6 +9,7 @@
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
+import type {AcceptedManifest} from '@dottereldrift/manifest/types.js';
 import {ConsistencyChoice} from '@dottereldrift/store/consistency_choice.js';
 import type {
   ReadConsistency,
@@ -96,7 +97,7 @@
     private readonly source: ConfigurationSource,
     private readonly view: Pick<
       StoreView,
-      'applyObject' | 'getManifest' | 'isLoaded'
+      'applyObject' | 'getAcceptedVersion' | 'getManifest' | 'isLoaded'
     >,
     private readonly isStoreReader: () => boolean,
     private readonly log: Log,
@@ -224,7 +225,10 @@
     const before = this.getGeneration();
     this.view.applyObject(accepted);
     const generation = this.getGeneration();
-    if (generation === before) return;
+    if (generation === before) {
+      this.recordDropped(accepted);
+      return;
+    }
     this.log.writeInfo('A new configuration is in effect.', {
       generation,
       version: accepted.version,
@@ -232,6 +236,19 @@
     });
   }
 
+  /** Logs a configuration that was read and differs from the one that stays in effect. */
+  private recordDropped({version, value}: StoredObject): void {
+    const generation = parseGeneration(value);
+    const present = this.getGeneration();
+    if (generation === present) return;
+    this.log.writeInfo('A configuration was read and not put into effect.', {
+      generation,
+      version,
+      present,
+      presentVersion: this.view.getAcceptedVersion(),
+    });
+  }
+
   private drawWatchWaitMs({watchWaitMs}: FollowMode): number {
     return Math.round(watchWaitMs * (0.5 + this.system.getRandom() / 2));
   }
@@ -244,3 +261,8 @@
     return limit * (0.5 + this.system.getRandom() / 2);
   }
 }
+
+function parseGeneration(value: Uint8Array): number {
+  const text = Buffer.from(value).toString('utf8');
+  return (JSON.parse(text) as AcceptedManifest).generation;
+}
--- a/packages/daemon/test/configuration_follower.test.ts
+++ b/packages/daemon/test/configuration_follower.test.ts
@@ -59,6 +59,7 @@
               sourceVersion: 0,
               manifest: {services: {}},
             },
+      getAcceptedVersion: () => this.generation,
       isLoaded: () => true,
     },
     () => this.isStoreReader,
@@ -88,7 +89,7 @@
 }
 
 function createAnswer(version: number): Answer {
-  const value = Buffer.from('');
+  const value = Buffer.from(JSON.stringify({generation: version}));
   const accepted = {key: 'manifest/accepted', version, value};
   return E.right({revision: version, accepted});
 }
