Show that a configuration is never in force after the store returned from an older copy

The bound is the operators' (config_apply_ms, 2 s). A return may cost each daemon six calls beyond a plain absence: both kinds read, both watched from there, its own session read and written.

--- /dev/null
+++ b/packages/platform/test/restored_store.process.test.ts
@@ -0,0 +1,145 @@
+/**
+ * The store goes away and returns, as it was or from an older copy, while the operator changes the configuration
+ * of five real daemons. Another writer raises the revision of the store all the time, as otherwise what is written
+ * again makes up for the few revisions that are lost. It picks up again some seconds after a return, so that lost
+ * revisions stay lost for as long.
+ */
+import test, {type ExecutionContext} from 'ava';
+
+import {ConfigurationWatch} from './configuration_watch.js';
+import {PlatformFleet} from './platform_fleet.js';
+
+const SERVICES = ['pay', 'pay', 'stock', 'rutas', 'menu'];
+const GRACE_S = 6;
+const WRITE_INTERVAL_MS = 25;
+const WRITTEN_OBJECTS = 20;
+const SETTLE_MS = 1_500;
+const AWAY_MS = 1_000;
+const COPY_AGE_MS = 3_000;
+const CHANGE_DELAY_MS = 3_500;
+/** Time after the last change; above the bound within which a change is in force. */
+const OBSERVE_MS = 2_500;
+/**
+ * Calls that each daemon may make for a return from an older copy beyond those for a plain absence: it reads both
+ * kinds of objects, watches both from there, and reads and writes its own session.
+ */
+const CALLS_TO_WRITE_AGAIN = 6;
+
+/** A fleet whose store can return from an older copy. */
+class Drill {
+  readonly fleet = new PlatformFleet({hasEra: true});
+  readonly watch = new ConfigurationWatch(this.fleet);
+  private timer: NodeJS.Timeout | undefined;
+  private written = 0;
+
+  async start(): Promise<void> {
+    this.startWriter();
+    await this.fleet.start(SERVICES, GRACE_S);
+    this.watch.start();
+    await waitFor(SETTLE_MS);
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await this.watch.stop();
+    await this.fleet.stop();
+  }
+
+  /** Writes objects of another system. */
+  startWriter(): void {
+    clearInterval(this.timer);
+    this.timer = setInterval(() => {
+      this.written += 1;
+      const name = `n${this.written % WRITTEN_OBJECTS}`;
+      if (this.fleet.store.isServing())
+        this.fleet.store.put('notes', name, {written: this.written});
+    }, WRITE_INTERVAL_MS);
+  }
+
+  /** Lets the store be away for a time and return; from an older copy if its age is given. */
+  async restartStore(awayMs: number, copyAgeMs?: number): Promise<void> {
+    const {store} = this.fleet;
+    clearInterval(this.timer);
+    await store.stopServing();
+    const leftAtMs = performance.now();
+    await waitFor(awayMs);
+    if (copyAgeMs !== undefined) {
+      store.replaceByCopy(copyAgeMs);
+      this.watch.recordLoss(leftAtMs - copyAgeMs);
+    }
+    await store.startServing();
+  }
+}
+
+function waitFor(delayMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, delayMs));
+}
+
+async function startDrill(t: ExecutionContext): Promise<Drill> {
+  const drill = new Drill();
+  t.teardown(() => drill.stop());
+  await drill.start();
+  return drill;
+}
+
+function expectInForce(t: ExecutionContext, {fleet, watch}: Drill): void {
+  for (const text of watch.formatDelays()) t.log(text);
+  const faults = watch.listFaults();
+  if (faults.length > 0) t.log(fleet.readLogs());
+  t.deepEqual(faults, []);
+}
+
+/** Changes the configuration before and after an absence; returns the calls to the store from the absence on. */
+async function runReturn(
+  drill: Drill,
+  copyAgeMs: number | undefined,
+): Promise<number> {
+  drill.watch.writeNext();
+  await waitFor(SETTLE_MS);
+  const {calls} = drill.fleet.store;
+  const callsBefore = calls.length;
+  await drill.restartStore(AWAY_MS, copyAgeMs);
+  drill.watch.writeAgain();
+  await waitFor(CHANGE_DELAY_MS);
+  drill.watch.writeNext();
+  await waitFor(OBSERVE_MS);
+  return calls.length - callsBefore;
+}
+
+let plainCalls: number | undefined;
+
+test.serial(
+  'after an absence of the store that loses nothing, a changed configuration is in force in time',
+  async t => {
+    const drill = await startDrill(t);
+    plainCalls = await runReturn(drill, undefined);
+    t.log(`calls to the store: ${plainCalls}`);
+    expectInForce(t, drill);
+  },
+);
+
+test.serial(
+  'a configuration changed after the store returned from an older copy is in force in time',
+  async t => {
+    const drill = await startDrill(t);
+    const calls = await runReturn(drill, COPY_AGE_MS);
+    t.log(`calls to the store: ${calls}`);
+    expectInForce(t, drill);
+    const {length} = drill.fleet.hosts;
+    if (plainCalls !== undefined)
+      t.true(calls <= plainCalls + length * CALLS_TO_WRITE_AGAIN);
+  },
+);
+
+test.serial(
+  'configurations changed after each of two returns of the store from older copies are in force in time',
+  async t => {
+    const drill = await startDrill(t);
+    for (let round = 0; round < 2; round += 1) {
+      await runReturn(drill, COPY_AGE_MS);
+      drill.startWriter();
+      await waitFor(SETTLE_MS);
+    }
+    expectInForce(t, drill);
+  },
+);
