Return the store again, beside a change and beside restarts of daemons

The bound of a daemon that was started counts from when it says that it is ready. In the first of the two returns the other writer goes on at once, so that the revisions pass those that the daemons knew within a second or three.

--- a/packages/platform/test/configuration_watch.ts
+++ b/packages/platform/test/configuration_watch.ts
@@ -37,6 +37,8 @@
   private readonly acknowledgements: Acknowledgement[] = [];
   private readonly samples: Sample[] = [];
   private readonly lives = new Map<number, number>();
+  /** When the last process that was started on a host became ready; Infinity until then. */
+  private readonly readyAtMs = new Map<number, number>();
   /** Newest version that the present process of a host has served. */
   private readonly served = new Map<number, number>();
   private isStopped = false;
@@ -83,10 +85,13 @@
         entry.lostAtMs = Math.min(entry.lostAtMs, atMs);
   }
 
-  /** Records that another process runs on a host. */
-  recordRestart(hostIndex: number): void {
+  /** Kills the daemon of a host and starts it again. */
+  async restartDaemon(hostIndex: number): Promise<void> {
+    await this.fleet.killDaemon(hostIndex);
     this.lives.set(hostIndex, this.getLife(hostIndex) + 1);
     this.served.delete(hostIndex);
+    this.readyAtMs.set(hostIndex, Infinity);
+    this.fleet.restartDaemon(hostIndex);
   }
 
   /** Lists for each acknowledgement the time until each daemon served its route. */
@@ -107,12 +112,17 @@
     ];
   }
 
-  /** A version is due if neither its loss nor the end of the test came before its bound. */
+  /**
+   * A version is due if neither its loss nor the end of the test came before its bound. The bound counts from when
+   * a daemon that was started became ready.
+   */
   private listLate(entry: Acknowledgement): readonly string[] {
-    const dueAtMs = entry.atMs + APPLY_BOUND_MS;
     const lastAtMs = Math.max(...this.samples.map(({sentAtMs}) => sentAtMs));
-    if (entry.lostAtMs < dueAtMs || lastAtMs < dueAtMs) return [];
     return this.fleet.hosts.flatMap(({index}) => {
+      const readyAtMs = this.readyAtMs.get(index) ?? 0;
+      if (readyAtMs === Infinity) return [`host ${index} is not ready`];
+      const dueAtMs = Math.max(entry.atMs, readyAtMs) + APPLY_BOUND_MS;
+      if (entry.lostAtMs < dueAtMs || lastAtMs < dueAtMs) return [];
       const served = this.findServed(index, entry);
       if (served !== undefined && served.sentAtMs <= dueAtMs) return [];
       const delay = formatDelay(served, entry);
@@ -156,6 +166,8 @@
 
   private async askRepeatedly(hostIndex: number): Promise<void> {
     while (!this.isStopped) {
+      if (this.readyAtMs.get(hostIndex) === Infinity)
+        await this.askReady(hostIndex);
       const served = this.served.get(hostIndex) ?? 0;
       const asked = this.versions.filter(version => version >= served);
       await Promise.all(asked.map(version => this.ask(hostIndex, version)));
@@ -163,6 +175,13 @@
     }
   }
 
+  private async askReady(hostIndex: number): Promise<void> {
+    const life = this.getLife(hostIndex);
+    const isReady = await this.fleet.isReady(hostIndex);
+    if (isReady && this.getLife(hostIndex) === life)
+      this.readyAtMs.set(hostIndex, performance.now());
+  }
+
   private async ask(hostIndex: number, version: number): Promise<void> {
     const life = this.getLife(hostIndex);
     const sentAtMs = performance.now();
--- a/packages/platform/test/platform_fleet.ts
+++ b/packages/platform/test/platform_fleet.ts
@@ -245,6 +245,19 @@
     });
   }
 
+  /** Tells whether a daemon says that it is ready. */
+  isReady(hostIndex: number): Promise<boolean> {
+    const {ready} = this.getHost(hostIndex).settings.listen;
+    return new Promise(resolve => {
+      http
+        .get(`http://${ready}/ready`, {agent: false}, response => {
+          response.resume();
+          resolve(response.statusCode === 200);
+        })
+        .once('error', () => resolve(false));
+    });
+  }
+
   /** Kills a daemon; resolves when it has exited. */
   async killDaemon(hostIndex: number): Promise<void> {
     const {daemon} = this.getHost(hostIndex);
@@ -366,8 +379,8 @@
 
   private async waitUntilReady(): Promise<void> {
     const endMs = performance.now() + READY_LIMIT_MS;
-    for (const {index, settings, service} of this.hosts) {
-      while (!(await this.isServed(index, settings.listen.ready, service))) {
+    for (const {index, service} of this.hosts) {
+      while (!(await this.isServed(index, service))) {
         if (performance.now() > endMs)
           throw new Error(`The daemon of host ${index} is not ready.`);
         await new Promise(resolve => setTimeout(resolve, POLL_MS));
@@ -377,20 +390,8 @@
   }
 
   /** Tells whether a daemon is ready and serves the service of its own host. */
-  private async isServed(
-    hostIndex: number,
-    readyAddress: string,
-    service: string,
-  ): Promise<boolean> {
-    const isReady = await new Promise(resolve => {
-      http
-        .get(`http://${readyAddress}/ready`, {agent: false}, response => {
-          response.resume();
-          resolve(response.statusCode === 200);
-        })
-        .once('error', () => resolve(false));
-    });
-    if (isReady !== true) return false;
+  private async isServed(hostIndex: number, service: string): Promise<boolean> {
+    if (!(await this.isReady(hostIndex))) return false;
     const options = {service, workMs: 1, deadlineMs: 1_000};
     return (await this.send(hostIndex, options)).status === 200;
   }
--- a/packages/platform/test/restored_store.process.test.ts
+++ b/packages/platform/test/restored_store.process.test.ts
@@ -19,6 +19,9 @@
 const CHANGE_DELAY_MS = 3_500;
 /** Time after the last change; above the bound within which a change is in force. */
 const OBSERVE_MS = 2_500;
+const SHORT_MS = 300;
+/** Time after which some daemons have received a change. */
+const FEW_MS = 4;
 /**
  * Calls that each daemon may make for a return from an older copy beyond those for a plain absence: it reads both
  * kinds of objects, watches both from there, and reads and writes its own session.
@@ -135,11 +138,84 @@
   'configurations changed after each of two returns of the store from older copies are in force in time',
   async t => {
     const drill = await startDrill(t);
-    for (let round = 0; round < 2; round += 1) {
-      await runReturn(drill, COPY_AGE_MS);
-      drill.startWriter();
-      await waitFor(SETTLE_MS);
-    }
+    drill.watch.writeNext();
+    await waitFor(SETTLE_MS);
+    // Here the other writer goes on at once, so revisions are soon as high as before.
+    await drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    drill.startWriter();
+    await waitFor(SHORT_MS);
+    drill.watch.writeNext();
+    await waitFor(OBSERVE_MS);
+    await runReturn(drill, COPY_AGE_MS);
+    expectInForce(t, drill);
+  },
+);
+
+test.serial(
+  'a configuration is in force in time after the store returned again before all was written again',
+  async t => {
+    const drill = await startDrill(t);
+    drill.watch.writeNext();
+    await waitFor(SETTLE_MS);
+    await drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    await waitFor(SHORT_MS);
+    // Loses a part of what the daemons have written since.
+    await drill.restartStore(SHORT_MS, SHORT_MS / 2);
+    drill.watch.writeAgain();
+    await waitFor(SHORT_MS);
+    // Loses all of it, and the configuration.
+    await drill.restartStore(SHORT_MS, COPY_AGE_MS / 2);
+    drill.watch.writeAgain();
+    await waitFor(CHANGE_DELAY_MS);
+    drill.watch.writeNext();
+    await waitFor(OBSERVE_MS);
+    expectInForce(t, drill);
+  },
+);
+
+test.serial(
+  'no daemon goes back to an older configuration while the store has lost the newer one, and all take a higher one',
+  async t => {
+    const drill = await startDrill(t);
+    drill.watch.writeNext();
+    await waitFor(SHORT_MS);
+    await drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    drill.startWriter();
+    await waitFor(AWAY_MS);
+    drill.watch.writeAgain();
+    await waitFor(OBSERVE_MS);
+    // Not all daemons know the version that is lost.
+    drill.watch.writeNext();
+    await waitFor(FEW_MS);
+    await drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    drill.watch.writeAgain();
+    await waitFor(OBSERVE_MS);
+    drill.watch.writeNext();
+    await waitFor(SHORT_MS);
+    await drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    drill.watch.writeNext();
+    await waitFor(OBSERVE_MS);
+    expectInForce(t, drill);
+  },
+);
+
+test.serial(
+  'a configuration is in force in time at daemons killed while the store was away and right after it returned',
+  async t => {
+    const drill = await startDrill(t);
+    const {watch} = drill;
+    watch.writeNext();
+    await waitFor(SETTLE_MS);
+    const returned = drill.restartStore(AWAY_MS, COPY_AGE_MS);
+    await waitFor(SHORT_MS);
+    await watch.restartDaemon(1);
+    await returned;
+    await watch.restartDaemon(2);
+    await waitFor(SHORT_MS);
+    watch.writeAgain();
+    await waitFor(CHANGE_DELAY_MS);
+    watch.writeNext();
+    await waitFor(OBSERVE_MS);
     expectInForce(t, drill);
   },
 );
