Carry the era of the store in every version, and keep what was written last

Callers saw older configurations run for ever, and routes that had been added answered 404, once the store had come back from an older copy: revisions are given out again, so a configuration that the operator writes after the return has a lower revision than the one in effect, and the view dropped it; watches from the higher revision were answered 410 each time.

Cause: order was taken from the store's revision, which may go back. The class is wider than the configuration: the same rule guards sessions, assignments and drains.

Change: the adapter reads the era of each response and packs era and revision into one version, so that everything read after a restoration is newer under the existing comparisons. A watch from an earlier era counts as without history; a version of an earlier era never matches a conditional update; a response of an earlier era than one already seen is void, and a write that it acknowledges is unknown. Objects carry the era in which they were written. The view keeps the value that was written last and takes on the version at which the store has the object now; the configuration goes by the operator's own number, so it never goes back within a process. A daemon stops following a relay that is an era behind.

Weighed: an object with two fields in place of the packed number. The wire and all comparisons would change, and the compiler does not find them: it accepts < on two objects of one type.

--- a/packages/core/src/messages.ts
+++ b/packages/core/src/messages.ts
@@ -22,6 +22,8 @@
   DD2003: 'The object changed: expected version {expected}, found {found}.',
   DD2004: 'The store refused the call: {reason}.',
   DD2005: 'The budget of {budget} store calls per second is exhausted.',
+  DD2006:
+    'The expected version {expected} is of an earlier era of the store; it is in era {era}.',
   DD3001: 'No service named {service} is configured.',
   DD3002: 'No request kind of service {service} matches {method} {path}.',
   DD3003:
--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -17,6 +17,7 @@
   StoreFailure,
   WatchOptions,
 } from '@dottereldrift/store/types.js';
+import {formatVersion} from '@dottereldrift/store/version.js';
 
 import type {StoreView} from './store_view.js';
 
@@ -243,9 +244,9 @@
     if (generation === present) return;
     this.log.writeInfo('A configuration was read and not put into effect.', {
       generation,
-      version,
+      version: formatVersion(version),
       present,
-      presentVersion: this.view.getAcceptedVersion(),
+      presentVersion: formatVersion(this.view.getAcceptedVersion()),
     });
   }
 
--- a/packages/daemon/src/relay_client.ts
+++ b/packages/daemon/src/relay_client.ts
@@ -12,10 +12,11 @@
   type FollowObjectsResponse,
   FollowObjectsResponseSchema,
 } from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+import {getEra} from '@dottereldrift/store/version.js';
 
 import {ENVELOPE_BYTES, type ControlCounters} from './control_counters.js';
 import type {PeerClients} from './peer_client.js';
-import {tryApplyDiff} from './relay_codec.js';
+import {parseObject, tryApplyDiff} from './relay_codec.js';
 import type {StoreView} from './store_view.js';
 
 /** Time without a message after which a stream is closed. */
@@ -67,6 +68,11 @@
     return messages;
   }
 
+  /** Returns whether the sender has not noticed yet that the store was restored. */
+  isOfEarlierEra({revision}: FollowObjectsResponse): boolean {
+    return getEra(Number(revision)) < this.view.getEra();
+  }
+
   private startSilenceTimer(
     controller: AbortController,
     silenceMs = RELAY_SILENCE_MS,
@@ -80,9 +86,9 @@
   private tryApply(response: FollowObjectsResponse): boolean {
     const bytes = toBinary(FollowObjectsResponseSchema, response).byteLength;
     this.counters.relayBytesReceived += bytes + ENVELOPE_BYTES;
-    const objects = response.objects.map(({key, version, value, deleted}) => ({
-      object: {key, version: Number(version), value},
-      isDeleted: deleted,
+    const objects = response.objects.map(record => ({
+      object: parseObject(record),
+      isDeleted: record.deleted,
     }));
     const written = objects.filter(({isDeleted}) => !isDeleted);
     this.view.applyObjects(written.map(({object}) => object));
@@ -105,6 +111,7 @@
 
   private applyRevision(response: FollowObjectsResponse): void {
     const revision = Number(response.revision);
+    if (this.isOfEarlierEra(response)) return;
     const isOlder = revision < this.view.getRevision();
     if (response.presentKeys.length > 0 && !isOlder)
       this.view.removeUnlisted(response.presentKeys, revision);
--- a/packages/daemon/src/relay_server.ts
+++ b/packages/daemon/src/relay_server.ts
@@ -17,11 +17,11 @@
   type FollowObjectsResponse,
   FollowObjectsResponseSchema,
   type ObjectRecord,
-  ObjectRecordSchema,
 } from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
+import {isOfCurrentEra} from '@dottereldrift/store/version.js';
 
 import {ENVELOPE_BYTES, type ControlCounters} from './control_counters.js';
-import {encodeDiff} from './relay_codec.js';
+import {encodeDiff, encodeObject} from './relay_codec.js';
 import type {StoreView} from './store_view.js';
 
 /** Interval of messages to a follower while nothing changes. */
@@ -91,8 +91,10 @@
     revision: number,
   ): FollowObjectsResponse {
     const keys = this.view.listKeys();
+    // Values from before the store was restored may be unknown to the follower although it has read the store since.
     const newerKeys = keys.filter(
-      key => this.view.getKnownVersion(key) > revision,
+      key =>
+        this.view.getKnownVersion(key) > revision || !this.view.isCurrent(key),
     );
     return this.createResponse(follower, newerKeys, keys);
   }
@@ -123,13 +125,11 @@
   }
 
   private createRecord(key: string): ObjectRecord {
-    const object = this.view.getObject(key);
-    return create(ObjectRecordSchema, {
+    return encodeObject(
       key,
-      version: BigInt(object?.version ?? this.view.getDeletionVersion(key)),
-      value: object?.value ?? new Uint8Array(),
-      deleted: object === undefined,
-    });
+      this.view.getObject(key),
+      this.view.getDeletionVersion(key),
+    );
   }
 
   /** Returns the diff to the assignment that the follower was last sent; undefined if there is none. */
@@ -142,7 +142,9 @@
     const current = this.view.getAssignment(service);
     if (current === undefined) return undefined;
     const before = follower.recordSent(service, current.assignment);
-    return before && this.getDiff(before, current).record;
+    return before && isOfCurrentEra(current)
+      ? this.getDiff(before, current).record
+      : undefined;
   }
 
   private getDiff(
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -2,6 +2,10 @@
  * The daemon's in-memory copy of the store: sessions, assignments, the configuration and drains. It is
  * updated from the store itself or through a relay and keeps its last state while neither responds. An
  * object never reverts to an earlier version, regardless of the source of the update.
+ *
+ * A store that was restored from a backup may contain older values than this copy. The copy keeps the value that was
+ * written last (see `VersionedValue.origin`) and only takes on the version at which the store has the object now, so
+ * that the daemon responsible for the object can write the value again.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import {isSameMember} from '@dottereldrift/core/member.js';
@@ -33,6 +37,13 @@
 } from '@dottereldrift/ownership/assignment_record.js';
 import type {VersionedAssignment} from '@dottereldrift/ownership/types.js';
 import type {StoredObject} from '@dottereldrift/store/types.js';
+import {
+  formatVersion,
+  getEra,
+  getOrigin,
+  isOfCurrentEra,
+  type VersionedValue,
+} from '@dottereldrift/store/version.js';
 
 /** Store keys of the configuration. */
 export const SUBMITTED_MANIFEST_KEY = 'manifest/submitted';
@@ -72,6 +83,8 @@
   private refreshObject: (key: string) => Promise<void> = () =>
     Promise.resolve();
   private revision = -1;
+  /** Era of the first revision up to which the view was complete; undefined before the first load. */
+  private firstEra: number | undefined;
   private lastContactMs = -Infinity;
 
   constructor(
@@ -213,7 +226,36 @@
 
   /** Records that the view is complete up to a revision. */
   setRevision(revision: number): void {
-    this.revision = Math.max(this.revision, revision);
+    if (revision < 0 || revision <= this.revision) return;
+    const era = getEra(revision);
+    const before = this.firstEra === undefined ? era : getEra(this.revision);
+    this.firstEra ??= era;
+    if (era > before)
+      this.log.writeWarning(
+        'The store was restored; the view is of a new era.',
+        {
+          era,
+          before,
+          revision: formatVersion(revision),
+          highestRevision: formatVersion(this.revision),
+        },
+      );
+    this.revision = revision;
+  }
+
+  /** Returns the era of the store up to which the view is complete; 0 before the first load. */
+  getEra(): number {
+    return getEra(this.revision);
+  }
+
+  /**
+   * Returns whether a value may be older than what the store contained before it was restored: it was written in an
+   * earlier era, and this daemon did not have it then.
+   */
+  isUncertain(known: VersionedValue): boolean {
+    return (
+      !isOfCurrentEra(known) && getEra(getOrigin(known)) < (this.firstEra ?? 0)
+    );
   }
 
   /** Records that the store responded to this or another daemon the given time ago. */
@@ -242,7 +284,9 @@
   /** Applies an assignment that was reconstructed from a diff. */
   applyAssignment(entry: VersionedAssignment): void {
     const key = getAssignmentKey(entry.assignment.service);
+    const known = this.assignments.get(entry.assignment.service);
     if (this.getKnownVersion(key) >= entry.version) return;
+    if (known !== undefined && getOrigin(known) > getOrigin(entry)) return;
     this.assignments.set(entry.assignment.service, entry);
     this.notifyChange(key);
     this.notifyListeners();
@@ -264,22 +308,48 @@
 
   /**
    * Removes the objects that are not in a listing made at a revision. The accepted configuration is never
-   * deleted: where it is not listed, it comes from another source.
+   * deleted: where it is not listed, it comes from another source. Sessions and assignments of an earlier era are
+   * not deleted either: a listing of a restored store may lack them.
    */
   removeUnlisted(listedKeys: readonly string[], revision: number): void {
     const listed = new Set([...listedKeys, ACCEPTED_MANIFEST_KEY]);
-    for (const key of [...this.objects.keys()]) {
-      if (!listed.has(key)) this.removeObject(key, revision);
+    for (const key of this.listKeys()) {
+      if (listed.has(key)) continue;
+      const isEarlier = getEra(this.getKnownVersion(key)) < getEra(revision);
+      if (isEarlier && isMaintainedByDaemons(key))
+        this.setAbsent(key, revision);
+      else if (!key.startsWith(ASSIGNMENT_PREFIX))
+        this.removeObject(key, revision);
     }
   }
 
+  /** Records that the restored store does not contain an object that was known before. */
+  setAbsent(key: string, revision: number): void {
+    const known = this.getObject(key);
+    if (known === undefined || known.version >= revision) return;
+    this.replace({
+      ...known,
+      version: revision,
+      origin: getOrigin(known),
+      isAbsent: true,
+    });
+    this.notifyChange(key);
+    this.notifyListeners();
+  }
+
   /** Returns the object with a key in its stored form. */
   getObject(key: string): StoredObject | undefined {
     if (!key.startsWith(ASSIGNMENT_PREFIX)) return this.objects.get(key);
     const entry = this.assignments.get(key.slice(ASSIGNMENT_PREFIX.length));
     if (entry === undefined) return undefined;
-    const value = encodeAssignment(entry.assignment);
-    return {key, version: entry.version, value};
+    const {assignment, ...versions} = entry;
+    return {key, ...versions, value: encodeAssignment(assignment)};
+  }
+
+  /** Returns whether the value of an object was written in the era of the store in which it was read. */
+  isCurrent(key: string): boolean {
+    const known = this.getVersions(key);
+    return known !== undefined && isOfCurrentEra(known);
   }
 
   /** Returns the version at which a key was deleted; 0 if it was not deleted. */
@@ -302,9 +372,10 @@
   }
 
   private tryApply(object: StoredObject): boolean {
-    if (this.getKnownVersion(object.key) >= object.version) return false;
+    const merged = this.mergeObject(object);
+    if (merged === undefined) return false;
     try {
-      this.applyNewerObject(object);
+      this.replace(merged);
       this.notifyChange(object.key);
       return true;
     } catch (error) {
@@ -316,32 +387,60 @@
     }
   }
 
-  private applyNewerObject(object: StoredObject): void {
-    const {key, version, value} = object;
+  /**
+   * Returns the object to keep in place of the known one, or undefined if nothing changes. The version is the higher
+   * one, that of the store. The value is the one that was written last, which an older backup may not contain.
+   */
+  private mergeObject(object: StoredObject): StoredObject | undefined {
+    const {key} = object;
+    const known = this.getVersions(key);
+    const isNewer = object.version > this.getKnownVersion(key);
+    if (known === undefined || key === ACCEPTED_MANIFEST_KEY)
+      return isNewer ? object : undefined;
+    const isWrittenLater = getOrigin(object) > getOrigin(known);
+    if (!isNewer)
+      return isWrittenLater
+        ? {...object, ...known, origin: getOrigin(object)}
+        : undefined;
+    const isSame = getOrigin(object) === getOrigin(known);
+    const kept = isWrittenLater || isSame ? undefined : this.getObject(key);
+    if (kept === undefined) return object;
+    this.log.writeInfo('The restored store has an older value of an object.', {
+      key,
+      found: formatVersion(getOrigin(object)),
+      kept: formatVersion(getOrigin(known)),
+    });
+    return {...object, value: kept.value, origin: getOrigin(known)};
+  }
+
+  private getVersions(key: string): VersionedValue | undefined {
+    if (!key.startsWith(ASSIGNMENT_PREFIX))
+      return selectVersions(this.objects.get(key));
+    const service = key.slice(ASSIGNMENT_PREFIX.length);
+    return selectVersions(this.assignments.get(service));
+  }
+
+  /** Replaces the known value and version of an object. */
+  private replace(object: StoredObject): void {
+    const {key, value, ...versions} = object;
+    const {version} = versions;
     if (key.startsWith(SESSION_PREFIX)) {
       this.liveSessions = undefined;
       this.sessions.set(key.slice(SESSION_PREFIX.length), {
+        ...versions,
         session: parseSession(value),
-        version,
       });
     } else if (key.startsWith(ASSIGNMENT_PREFIX)) {
-      const assignment = parseAssignment(value);
       this.assignments.set(key.slice(ASSIGNMENT_PREFIX.length), {
-        assignment,
-        version,
+        ...versions,
+        assignment: parseAssignment(value),
       });
     } else if (key.startsWith(DRAIN_PREFIX)) {
       this.liveSessions = undefined;
       this.drainVersions.set(key.slice(DRAIN_PREFIX.length), version);
     } else if (key === ACCEPTED_MANIFEST_KEY) {
-      const newest = chooseNewer(
-        this.accepted,
-        parseJson<AcceptedManifest>(value),
-      );
-      if (newest.generation !== this.accepted?.generation)
-        this.acceptedAtMs = this.system.getNow().monotonicMs;
-      this.accepted = newest;
-      this.acceptedVersion = Math.max(this.acceptedVersion, version);
+      this.replaceAccepted(object);
+      return;
     } else if (key === SUBMITTED_MANIFEST_KEY) {
       this.submitted = object;
     } else if (key === MANIFEST_STATUS_KEY) {
@@ -350,6 +449,22 @@
     if (!key.startsWith(ASSIGNMENT_PREFIX)) this.objects.set(key, object);
   }
 
+  /** Puts a configuration in force unless it is older than the present one, which a restored store may no longer have. */
+  private replaceAccepted(object: StoredObject): void {
+    const {key, version, value} = object;
+    const received = parseJson<AcceptedManifest>(value);
+    const newest = chooseNewer(this.accepted, received);
+    if (newest.generation !== this.accepted?.generation)
+      this.acceptedAtMs = this.system.getNow().monotonicMs;
+    this.accepted = newest;
+    this.acceptedVersion = Math.max(this.acceptedVersion, version);
+    const kept = this.objects.get(key);
+    this.objects.set(
+      key,
+      newest === received || kept === undefined ? object : {...kept, version},
+    );
+  }
+
   private notifyChange(key: string): void {
     for (const listener of this.changeListeners) listener(key);
   }
@@ -359,6 +474,23 @@
   }
 }
 
+/** Returns whether daemons write an object again after the store was restored; operators write all others. */
+function isMaintainedByDaemons(key: string): boolean {
+  return key.startsWith(SESSION_PREFIX) || key.startsWith(ASSIGNMENT_PREFIX);
+}
+
+function selectVersions(
+  known: VersionedValue | undefined,
+): VersionedValue | undefined {
+  if (known === undefined) return undefined;
+  const {version, origin, isAbsent} = known;
+  return {
+    version,
+    ...(origin === undefined ? {} : {origin}),
+    ...(isAbsent === undefined ? {} : {isAbsent}),
+  };
+}
+
 function parseJson<T>(value: Uint8Array): T {
   return JSON.parse(Buffer.from(value).toString('utf8')) as T;
 }
--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -137,8 +137,15 @@
     key,
     version,
     value,
+    origin,
   }: ObjectChange): Promise<E.Either<StoreFailure, StoredObject | undefined>> {
-    if (value !== undefined) return E.right({key, version, value});
+    if (value !== undefined)
+      return E.right({
+        key,
+        version,
+        value,
+        ...(origin === undefined ? {} : {origin}),
+      });
     return this.store.getObject(key)();
   }
 
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -155,8 +155,12 @@
     this.setSource('relay', address);
     const startedAtMs = this.system.getNow().monotonicMs;
     let isStoreSilent = false;
-    await this.client.followDaemon(address, ({storeSilenceMs}) => {
+    let isBehind = false;
+    await this.client.followDaemon(address, response => {
+      const {storeSilenceMs} = response;
       if (this.isStopped || !this.isStillRelay(host)) return false;
+      isBehind = this.client.isOfEarlierEra(response);
+      if (isBehind) return false;
       isStoreSilent = storeSilenceMs > MAX_STORE_SILENCE_MS;
       if (!isStoreSilent) {
         this.isFollowingAlternate = false;
@@ -169,8 +173,9 @@
       );
     });
     if (this.isStopped || !this.isStillRelay(host)) return true;
-    if (!isStoreSilent || (!this.isFollowingAlternate && this.isFresh()))
-      this.setAvoided(host);
+    const isLost =
+      !isStoreSilent || (!this.isFollowingAlternate && this.isFresh());
+    if (isBehind || isLost) this.setAvoided(host);
     else await this.followAlternateSource(host);
     return true;
   }
@@ -222,8 +227,9 @@
   private async followCandidate(address: Address): Promise<void> {
     const startedAtMs = this.system.getNow().monotonicMs;
     const endMs = startedAtMs + ALTERNATE_SOURCE_MS;
-    const mayContinue: FollowCondition = ({storeSilenceMs}) => {
-      if (storeSilenceMs > MAX_STORE_SILENCE_MS) return false;
+    const mayContinue: FollowCondition = response => {
+      const isSilent = response.storeSilenceMs > MAX_STORE_SILENCE_MS;
+      if (isSilent || this.client.isOfEarlierEra(response)) return false;
       this.isFollowingAlternate = true;
       this.setSource('peer', address);
       return !this.isStopped && this.system.getNow().monotonicMs < endMs;
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -9,6 +9,7 @@
   ServiceName,
   Token,
 } from '@dottereldrift/core/types.js';
+import type {VersionedValue} from '@dottereldrift/store/version.js';
 
 /** A backend server that a member represents. */
 export interface ServerInfo {
@@ -47,9 +48,8 @@
 }
 
 /** A session with the version of its object in the store. */
-export interface VersionedSession {
+export interface VersionedSession extends VersionedValue {
   readonly session: Session;
-  readonly version: number;
 }
 
 /** Known sessions by host. */
--- a/packages/ownership/src/types.ts
+++ b/packages/ownership/src/types.ts
@@ -2,6 +2,7 @@
  * Types of ownership: slices of the ring and their assignment to owners.
  */
 import type {Member, ServiceName, Token} from '@dottereldrift/core/types.js';
+import type {VersionedValue} from '@dottereldrift/store/version.js';
 
 /** A contiguous range of the ring that ends at the start of the next slice. */
 export interface Slice {
@@ -33,9 +34,8 @@
 }
 
 /** An assignment with the version of its object in the store. */
-export interface VersionedAssignment {
+export interface VersionedAssignment extends VersionedValue {
   readonly assignment: Assignment;
-  readonly version: number;
 }
 
 /** Reference to a slice under a specific token. */
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -34,8 +34,15 @@
   WatchOptions,
   WatchResult,
 } from '@dottereldrift/store/types.js';
+import {
+  createVersion,
+  formatVersion,
+  getEra,
+  getRevision,
+} from '@dottereldrift/store/version.js';
 
 import {translateConfiguration} from './configuration.js';
+import {ERA_HEADER, StoreEra} from './store_era.js';
 import {
   CONFIGURATION_KIND,
   CONFIGURATION_NAME,
@@ -61,6 +68,7 @@
 interface Reply {
   readonly status: number;
   readonly body: unknown;
+  readonly era: number;
 }
 
 type Method = 'GET' | 'POST' | 'PUT' | 'DELETE';
@@ -69,6 +77,7 @@
 export class PlatformStore implements ObjectStore, ConfigurationSource {
   private pool: Pool;
   private lastError = '';
+  private readonly era: StoreEra;
 
   constructor(
     private readonly address: Address,
@@ -76,6 +85,7 @@
     private readonly log: Log,
   ) {
     this.pool = createPool(address);
+    this.era = new StoreEra(log);
   }
 
   getObject(key: string): TaskEither<StoreFailure, StoredObject | undefined> {
@@ -85,7 +95,9 @@
       if (E.isLeft(reply)) return reply;
       if (reply.right.status === NOT_FOUND_STATUS) return E.right(undefined);
       const object = readBody(objectSchema, reply.right);
-      return E.isLeft(object) ? object : E.right(parseObject(object.right));
+      return E.isLeft(object)
+        ? object
+        : E.right(parseObject(object.right, reply.right.era));
     };
   }
 
@@ -96,13 +108,15 @@
   ): TaskEither<StoreFailure, ListResult> {
     return async () => {
       const objects: StoredObject[] = [];
-      let revision: number | undefined;
+      let revision: ObjectVersion | undefined;
       for (let after = ''; ;) {
         const page = await this.listPage(PRODUCT_KIND, after, consistency);
         if (E.isLeft(page)) return page;
         const {items, has_more: hasMore, store_revision: found} = page.right;
-        revision ??= found;
-        objects.push(...items.flatMap(item => parseObject(item) ?? []));
+        const {era} = page.right;
+        revision ??= createVersion(era, found);
+        if (era !== getEra(revision)) return E.left(createRestored());
+        objects.push(...items.flatMap(item => parseObject(item, era) ?? []));
         const last = items[items.length - 1];
         if (hasMore !== true || last === undefined) break;
         after = last.metadata.name;
@@ -110,6 +124,8 @@
       const configuration = await this.readConfiguration(consistency)();
       if (E.isLeft(configuration)) return configuration;
       const {accepted} = configuration.right;
+      if (getEra(configuration.right.revision) !== getEra(revision))
+        return E.left(createRestored());
       if (accepted !== undefined) objects.push(accepted);
       return E.right({revision, objects});
     };
@@ -123,9 +139,16 @@
     return async () => {
       const name = formatObjectName(key);
       const isNew = expectedVersion === 0;
+      const era = this.recordExpected(expectedVersion);
+      if (E.isLeft(era)) return era;
       const path = formatPath(PRODUCT_KIND, isNew ? undefined : name);
-      const metadata = isNew ? {name} : {name, rev: expectedVersion};
-      const spec = {value: Buffer.from(value).toString('base64')};
+      const metadata = isNew
+        ? {name}
+        : {name, rev: getRevision(expectedVersion)};
+      const spec = {
+        value: Buffer.from(value).toString('base64'),
+        ...(era.right === 0 ? {} : {era: era.right}),
+      };
       const body = {metadata, spec};
       const method = isNew ? 'POST' : 'PUT';
       const reply = await this.call(method, path, CALL_TIMEOUT_MS, body);
@@ -134,7 +157,11 @@
       if (status === CONFLICT_STATUS || status === NOT_FOUND_STATUS)
         return E.left(createConflict(expectedVersion, reply.right));
       const object = readBody(objectSchema, reply.right, 'unknown');
-      return E.isLeft(object) ? object : E.right(object.right.metadata.rev);
+      if (E.isLeft(object)) return object;
+      // Restored while the call was under way, the store may have applied it to another state than the expected one.
+      return reply.right.era === era.right
+        ? E.right(createVersion(era.right, object.right.metadata.rev))
+        : E.left(createUnknown());
     };
   }
 
@@ -143,7 +170,10 @@
     expectedVersion: ObjectVersion,
   ): TaskEither<StoreFailure, ObjectVersion> {
     return async () => {
-      const path = `${formatPath(PRODUCT_KIND, formatObjectName(key))}?rev=${expectedVersion}`;
+      const era = this.recordExpected(expectedVersion);
+      if (E.isLeft(era)) return era;
+      const revision = getRevision(expectedVersion);
+      const path = `${formatPath(PRODUCT_KIND, formatObjectName(key))}?rev=${revision}`;
       const reply = await this.call('DELETE', path, CALL_TIMEOUT_MS);
       if (E.isLeft(reply)) return reply;
       if (
@@ -173,11 +203,15 @@
       if (E.isLeft(watched)) return watched;
       if (watched.right === 'gone')
         return E.right({revision: afterRevision, changes: [], isReset: true});
-      const {events, store_revision: revision} = watched.right;
+      const {events, era, store_revision: revision} = watched.right;
       const changes = events.map(({object, removed}) =>
-        parseChange(object, removed === true),
+        parseChange(object, removed === true, era),
       );
-      return E.right({revision, changes, isReset: false});
+      return E.right({
+        revision: createVersion(era, revision),
+        changes,
+        isReset: false,
+      });
     };
   }
 
@@ -187,8 +221,8 @@
     return async () => {
       const page = await this.listPage(CONFIGURATION_KIND, '', consistency);
       if (E.isLeft(page)) return page;
-      const {items, store_revision: revision} = page.right;
-      return E.right(this.createConfigurationAnswer(items, revision));
+      const {items, era, store_revision: revision} = page.right;
+      return E.right(this.createConfigurationAnswer(items, revision, era));
     };
   }
 
@@ -209,11 +243,11 @@
         const read = await this.readConfiguration()();
         return E.isLeft(read) ? read : E.right({...read.right, isReset: true});
       }
-      const {events, store_revision: revision} = watched.right;
+      const {events, era, store_revision: revision} = watched.right;
       const objects = events
         .filter(({removed}) => removed !== true)
         .map(({object}) => object);
-      return E.right(this.createConfigurationAnswer(objects, revision));
+      return E.right(this.createConfigurationAnswer(objects, revision, era));
     };
   }
 
@@ -225,26 +259,28 @@
   /** Translates the newest of the given configurations. Omits it if it cannot be translated. */
   private createConfigurationAnswer(
     objects: readonly WireObject[],
-    revision: number,
+    storeRevision: number,
+    era: number,
   ): ConfigurationAnswer {
+    const revision = createVersion(era, storeRevision);
     const newest = objects
       .filter(({metadata}) => metadata.name === CONFIGURATION_NAME)
       .sort((a, b) => b.metadata.rev - a.metadata.rev)[0];
     if (newest === undefined) return {revision, accepted: undefined};
-    const {rev} = newest.metadata;
-    const translated = translateConfiguration(newest.spec, rev);
+    const version = createVersion(era, newest.metadata.rev);
+    const translated = translateConfiguration(newest.spec, version);
     if (E.isLeft(translated)) {
       this.log.writeError(
         'Cannot translate the configuration; the current one remains in effect.',
         {
-          revision: rev,
+          version: formatVersion(version),
           faults: translated.left.map(formatValidationError).join('; '),
         },
       );
       return {revision, accepted: undefined};
     }
     const value = Buffer.from(JSON.stringify(translated.right));
-    const accepted = {key: ACCEPTED_MANIFEST_KEY, version: rev, value};
+    const accepted = {key: ACCEPTED_MANIFEST_KEY, version, value};
     return {revision, accepted};
   }
 
@@ -258,7 +294,11 @@
       ...formatConsistency(consistency),
     });
     const reply = await this.call('GET', path, CALL_TIMEOUT_MS);
-    return E.isLeft(reply) ? reply : readBody(listSchema, reply.right);
+    if (E.isLeft(reply)) return reply;
+    const page = readBody(listSchema, reply.right);
+    return E.isLeft(page)
+      ? page
+      : E.right({...page.right, era: reply.right.era});
   }
 
   private async watchKind(
@@ -267,16 +307,39 @@
     waitMs: number,
     {consistency, signal}: WatchOptions,
   ) {
+    const watchedEra = getEra(revision);
+    this.era.recordEra(watchedEra);
+    if (watchedEra < this.era.get()) return E.right('gone' as const);
     const path = formatPath(kind, undefined, {
-      watch: String(revision),
+      watch: String(getRevision(revision)),
       wait_ms: String(Math.round(waitMs)),
       ...formatConsistency(consistency),
     });
     const timeoutMs = waitMs + WATCH_GRACE_MS;
     const reply = await this.call('GET', path, timeoutMs, undefined, signal);
     if (E.isLeft(reply)) return reply;
-    if (reply.right.status === GONE_STATUS) return E.right('gone' as const);
-    return readBody(watchSchema, reply.right);
+    const {status, era} = reply.right;
+    // In a later era, the same revision stands for another state.
+    if (status === GONE_STATUS || era !== watchedEra)
+      return E.right('gone' as const);
+    const result = readBody(watchSchema, reply.right);
+    return E.isLeft(result) ? result : E.right({...result.right, era});
+  }
+
+  /**
+   * Returns the era in which an update with an expected version is made. A version of an earlier era conflicts,
+   * because the store may have given out its revision again.
+   */
+  private recordExpected(
+    expectedVersion: ObjectVersion,
+  ): E.Either<StoreFailure, number> {
+    const expectedEra = getEra(expectedVersion);
+    this.era.recordEra(expectedEra);
+    const era = this.era.get();
+    if (expectedVersion === 0 || expectedEra === era) return E.right(era);
+    const expected = formatVersion(expectedVersion);
+    const text = formatMessage('DD2006', {expected, era});
+    return E.left({kind: 'conflict', text});
   }
 
   private async call(
@@ -308,7 +371,10 @@
       });
       const text = await response.body.text();
       this.recordSuccess(method);
-      return E.right({status: response.statusCode, body: parseJson(text)});
+      const {statusCode: status, headers} = response;
+      const era = this.era.receive(headers[ERA_HEADER]);
+      if (era < this.era.get()) return E.left(createStale(method, status));
+      return E.right({status, body: parseJson(text), era});
     } catch (error) {
       // A call that its caller ended says nothing about the store.
       if (signal?.aborted !== true) {
@@ -384,23 +450,33 @@
 }
 
 /** Decodes an object. Returns undefined if it is being deleted or was not written by a daemon. */
-function parseObject(object: WireObject): StoredObject | undefined {
-  const value = valueSchema.safeParse(object.spec);
-  if (!value.success || object.metadata.deleting === true) return undefined;
+function parseObject(
+  object: WireObject,
+  era: number,
+): StoredObject | undefined {
+  const spec = valueSchema.safeParse(object.spec);
+  if (!spec.success || object.metadata.deleting === true) return undefined;
+  const {rev} = object.metadata;
+  const {value, era: writtenEra = 0} = spec.data;
   return {
     key: parseObjectName(object.metadata.name),
-    version: object.metadata.rev,
-    value: Buffer.from(value.data.value, 'base64'),
+    version: createVersion(era, rev),
+    ...(writtenEra >= era ? {} : {origin: createVersion(writtenEra, rev)}),
+    value: Buffer.from(value, 'base64'),
   };
 }
 
-function parseChange(object: WireObject, isRemoved: boolean): ObjectChange {
-  const stored = parseObject(object);
+function parseChange(
+  object: WireObject,
+  isRemoved: boolean,
+  era: number,
+): ObjectChange {
+  const stored = parseObject(object, era);
   return {
     key: parseObjectName(object.metadata.name),
-    version: object.metadata.rev,
+    version: createVersion(era, object.metadata.rev),
     isDeleted: isRemoved || stored === undefined,
-    ...(stored === undefined ? {} : {value: stored.value}),
+    ...stored,
   };
 }
 
@@ -426,13 +502,34 @@
   return {kind: 'refused', text: formatMessage('DD2004', {reason})};
 }
 
-function createConflict(expected: number, reply: Reply): StoreFailure {
+function createConflict(expected: ObjectVersion, reply: Reply): StoreFailure {
   const found = objectSchema.safeParse(reply.body);
-  const foundVersion = found.success ? found.data.metadata.rev : 0;
-  const text = formatMessage('DD2003', {expected, found: foundVersion});
+  const foundVersion = found.success
+    ? createVersion(reply.era, found.data.metadata.rev)
+    : 0;
+  const text = formatMessage('DD2003', {
+    expected: formatVersion(expected),
+    found: formatVersion(foundVersion),
+  });
   return {kind: 'conflict', text, foundVersion};
 }
 
+/** Returns the failure of a call whose response describes a state from before the store was restored. */
+function createStale(method: Method, status: number): StoreFailure {
+  const wasRefused = status >= 300 && status < 500;
+  return method === 'GET' || wasRefused ? createRestored() : createUnknown();
+}
+
+/** Returns the failure of a read during which the store was restored, or of a write that it had refused before. */
+function createRestored(): StoreFailure {
+  const reason = 'it was restored from a backup during the call';
+  return {kind: 'unavailable', text: formatMessage('DD2001', {reason})};
+}
+
+function createUnknown(): StoreFailure {
+  return {kind: 'unknown', text: formatMessage('DD2002')};
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text) as unknown;
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -184,5 +184,10 @@
 /** Decoded object of the store. */
 export type WireObject = z.infer<typeof objectSchema>;
 
-/** Content of an object written by a daemon: bytes in base64. */
-export const valueSchema = z.object({value: z.string()});
+/** Content of an object written by a daemon. */
+export const valueSchema = z.object({
+  /** Bytes in base64. */
+  value: z.string(),
+  /** Era of the store in which the object was written. */
+  era: z.number().int().min(0).optional(),
+});
--- a/packages/store/src/types.ts
+++ b/packages/store/src/types.ts
@@ -3,13 +3,17 @@
  */
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 
-/** Version of an object. Increases with every write to any object; 0 means that the object does not exist. */
+import type {VersionedValue} from './version.js';
+
+/**
+ * Version of an object. Increases with every write to any object; 0 means that the object does not exist. Versions
+ * of a store that was restored from a backup are higher than all earlier ones (see version.ts).
+ */
 export type ObjectVersion = number;
 
 /** An object that was read from the store. */
-export interface StoredObject {
+export interface StoredObject extends VersionedValue {
   readonly key: string;
-  readonly version: ObjectVersion;
   readonly value: Uint8Array;
 }
 
@@ -20,6 +24,8 @@
   readonly isDeleted: boolean;
   /** The new value, if the store includes it in the change; otherwise it has to be read separately. */
   readonly value?: Uint8Array;
+  /** Version at which the value was written; absent if it equals `version`. */
+  readonly origin?: ObjectVersion;
 }
 
 /** Result of a watch. */
