Order configurations by the operator's number alone, and test what a view keeps

A daemon that is started after the store was restored reads the older configuration of the copy. Others still have the later one, but at a lower version of the store, so the view dropped it. The generation now decides, whatever the version; the copy's version is kept for conditional updates.

Tests: restored_view (10; before the eras, a configuration written after the return was dropped), store_era (4).

--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -372,9 +372,12 @@
   }
 
   private tryApply(object: StoredObject): boolean {
-    const merged = this.mergeObject(object);
-    if (merged === undefined) return false;
     try {
+      const merged =
+        object.key === ACCEPTED_MANIFEST_KEY
+          ? this.mergeAccepted(object)
+          : this.mergeObject(object);
+      if (merged === undefined) return false;
       this.replace(merged);
       this.notifyChange(object.key);
       return true;
@@ -395,8 +398,7 @@
     const {key} = object;
     const known = this.getVersions(key);
     const isNewer = object.version > this.getKnownVersion(key);
-    if (known === undefined || key === ACCEPTED_MANIFEST_KEY)
-      return isNewer ? object : undefined;
+    if (known === undefined) return isNewer ? object : undefined;
     const isWrittenLater = getOrigin(object) > getOrigin(known);
     if (!isNewer)
       return isWrittenLater
@@ -440,7 +442,6 @@
       this.drainVersions.set(key.slice(DRAIN_PREFIX.length), version);
     } else if (key === ACCEPTED_MANIFEST_KEY) {
       this.replaceAccepted(object);
-      return;
     } else if (key === SUBMITTED_MANIFEST_KEY) {
       this.submitted = object;
     } else if (key === MANIFEST_STATUS_KEY) {
@@ -449,20 +450,28 @@
     if (!key.startsWith(ASSIGNMENT_PREFIX)) this.objects.set(key, object);
   }
 
-  /** Puts a configuration in force unless it is older than the present one, which a restored store may no longer have. */
+  /**
+   * Returns the configuration to keep in place of the known one, or undefined if nothing changes. The generation
+   * decides, because a restored store, and daemons that have read it since, may have an older one.
+   */
+  private mergeAccepted(object: StoredObject): StoredObject | undefined {
+    const known = this.objects.get(ACCEPTED_MANIFEST_KEY);
+    if (known === undefined || this.accepted === undefined) return object;
+    const received = parseJson<AcceptedManifest>(object.value);
+    const version = Math.max(known.version, object.version);
+    if (chooseNewer(this.accepted, received) === received)
+      return {...object, version};
+    return version === known.version
+      ? undefined
+      : {...known, version, origin: getOrigin(known)};
+  }
+
   private replaceAccepted(object: StoredObject): void {
-    const {key, version, value} = object;
-    const received = parseJson<AcceptedManifest>(value);
-    const newest = chooseNewer(this.accepted, received);
-    if (newest.generation !== this.accepted?.generation)
+    const received = parseJson<AcceptedManifest>(object.value);
+    if (received.generation !== this.accepted?.generation)
       this.acceptedAtMs = this.system.getNow().monotonicMs;
-    this.accepted = newest;
-    this.acceptedVersion = Math.max(this.acceptedVersion, version);
-    const kept = this.objects.get(key);
-    this.objects.set(
-      key,
-      newest === received || kept === undefined ? object : {...kept, version},
-    );
+    this.accepted = received;
+    this.acceptedVersion = object.version;
   }
 
   private notifyChange(key: string): void {
