Take an announced configuration from the daemon that has it when the store lacks it

A daemon started after a restoration and before the operator has written again reads the older configuration of the copy, and goes on reading it each second while heartbeats announce the later one. It now asks the daemon that announced it, once a read of the store has not brought it; one message each second at most.

Test: configuration_follower 'an announced configuration that the restored store lacks is taken from the daemon that has it'; without the call the generation stays 1.

--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -2,13 +2,15 @@
  * Follows the operator's configuration. Daemons that read the store for others (see view_follower.ts) watch it
  * linearizably and pass it on with the view. All other daemons get it from them; their own watch is serializable
  * and only covers the loss of that path. A watch may stall without an error, so a daemon that learns of a newer
- * configuration from another daemon reads it from the store unless it arrives by itself.
+ * configuration from another daemon reads it from the store unless it arrives by itself, and asks that daemon for it
+ * if the store does not have it.
  */
 import * as E from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
 
 import type {Log} from '@dottereldrift/core/log.js';
 import {type System, waitFor} from '@dottereldrift/core/system.js';
+import type {Address} from '@dottereldrift/core/types.js';
 import type {AcceptedManifest} from '@dottereldrift/manifest/types.js';
 import {ConsistencyChoice} from '@dottereldrift/store/consistency_choice.js';
 import type {
@@ -92,7 +94,10 @@
   /** Whether the last watch found that its history is gone. */
   private wasReset = false;
 
-  /** @param isStoreReader Tells whether this daemon reads the store itself, so that others may follow it. */
+  /**
+   * @param isStoreReader Tells whether this daemon reads the store itself, so that others may follow it.
+   * @param askDaemon Updates the view from another daemon once; does not reject.
+   */
   constructor(
     private readonly system: System,
     private readonly source: ConfigurationSource,
@@ -101,6 +106,7 @@
       'applyObject' | 'getAcceptedVersion' | 'getManifest' | 'isLoaded'
     >,
     private readonly isStoreReader: () => boolean,
+    private readonly askDaemon: (address: Address) => Promise<unknown>,
     private readonly log: Log,
   ) {
     this.consistency = new ConsistencyChoice(system);
@@ -129,16 +135,19 @@
   }
 
   /** Handles the generation that another daemon has in effect; reads it unless it arrives soon. */
-  receiveGeneration(generation: number): void {
+  receiveGeneration(generation: number, from: Address): void {
     if (generation <= this.announcedGeneration || !this.isOlderThan(generation))
       return;
     this.announcedGeneration = generation;
     this.system.startTimer(this.getMode().announcedReadDelayMs, () => {
-      if (!this.isStopped) void this.readAnnounced(generation);
+      if (!this.isStopped) void this.readAnnounced(generation, from);
     });
   }
 
-  private async readAnnounced(generation: number): Promise<void> {
+  private async readAnnounced(
+    generation: number,
+    from: Address,
+  ): Promise<void> {
     if (!this.isOlderThan(generation)) return;
     this.log.writeInfo('Another daemon has a newer configuration.', {
       generation,
@@ -154,6 +163,8 @@
         reason: answer.left.text,
       });
     }
+    // A restored store may not have it until the operator writes it again.
+    if (this.isOlderThan(generation)) await this.askDaemon(from);
     if (!this.isOlderThan(generation)) return;
     // After the delay, the next heartbeat with this generation triggers another read.
     this.system.startTimer(ANNOUNCED_RETRY_DELAY_MS, () => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -283,6 +283,7 @@
         new CountingConfigurationSource(platform.configuration, storeCalls),
         this.view,
         () => this.viewReplication.follower.isStoreReader(),
+        address => this.viewReplication.follower.updateFrom(address),
         this.log.createChild('configuration'),
       );
     this.viewReplication.follower.setReaderListener(() => {
@@ -559,7 +560,10 @@
   private receiveDatagram(datagram: Datagram, from: Address): void {
     const {body} = datagram;
     if (body.case === 'heartbeat' || body.case === 'heartbeatAnswer')
-      this.configuration?.receiveGeneration(Number(body.value.configuration));
+      this.configuration?.receiveGeneration(
+        Number(body.value.configuration),
+        from,
+      );
     if (body.case === 'heartbeat') {
       const {host, incarnation, sequence} = body.value;
       this.witnessService.receiveHeartbeat(
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -112,6 +112,11 @@
     this.onReader = listener;
   }
 
+  /** Updates the view once with what another daemon has and this one lacks. */
+  async updateFrom(address: Address): Promise<void> {
+    await this.client.followDaemon(address, () => false);
+  }
+
   /** Loads the view from the store, or from a randomly selected peer if the store cannot be read. */
   private async tryLoad(): Promise<boolean> {
     this.setSource('store');
--- a/packages/daemon/test/configuration_follower.test.ts
+++ b/packages/daemon/test/configuration_follower.test.ts
@@ -17,6 +17,7 @@
 } from '../src/configuration_follower.js';
 import {ManualSystem} from './fakes.js';
 
+const ANNOUNCER = {ip: '127.0.0.9', port: 9};
 const UNAVAILABLE: StoreFailure = {kind: 'unavailable', text: 'away'};
 
 type Answer = E.Either<StoreFailure, ConfigurationAnswer>;
@@ -29,6 +30,8 @@
   readonly consistencies: ReadConsistency[] = [];
   readonly waitsMs: number[] = [];
   generation = 0;
+  /** Generation that other daemons have and the store does not. */
+  remembered = 0;
   isStoreReader = true;
   private answer: (answer: Answer) => void = () => {};
   readonly follower = new ConfigurationFollower(
@@ -63,6 +66,11 @@
       isLoaded: () => true,
     },
     () => this.isStoreReader,
+    address => {
+      this.calls.push(`ask ${address.ip}`);
+      this.generation = Math.max(this.generation, this.remembered);
+      return Promise.resolve();
+    },
     createLog('test', 'hidden', 'error'),
   );
 
@@ -110,8 +118,8 @@
 test('a newer configuration announced by another daemon is read while a watch is pending', async t => {
   const fixture = new Fixture();
   await fixture.answerLast(createAnswer(1));
-  fixture.follower.receiveGeneration(2);
-  fixture.follower.receiveGeneration(2);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
   t.deepEqual(
     fixture.calls,
     ['read', 'watch'],
@@ -121,7 +129,7 @@
   t.deepEqual(fixture.calls, ['read', 'watch', 'read']);
   await fixture.answerLast(createAnswer(2));
   t.is(fixture.generation, 2);
-  fixture.follower.receiveGeneration(2);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
   fixture.system.shift(200);
   t.is(fixture.calls.length, 3);
 });
@@ -129,15 +137,26 @@
 test('an announced configuration is read again after a read that returned an older one', async t => {
   const fixture = new Fixture();
   await fixture.answerLast(createAnswer(1));
-  fixture.follower.receiveGeneration(2);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
   fixture.system.shift(200);
   await fixture.answerLast(createAnswer(1));
-  fixture.follower.receiveGeneration(2);
-  t.is(fixture.calls.length, 3, 'a pause keeps heartbeats from flooding');
+  const before = ['read', 'watch', 'read', 'ask 127.0.0.9'];
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
+  t.deepEqual(fixture.calls, before, 'a pause keeps heartbeats from flooding');
   fixture.system.shift(1_000);
-  fixture.follower.receiveGeneration(2);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
+  fixture.system.shift(200);
+  t.deepEqual(fixture.calls, [...before, 'read']);
+});
+
+test('an announced configuration that the restored store lacks is taken from the daemon that has it', async t => {
+  const fixture = new Fixture();
+  await fixture.answerLast(createAnswer(1));
+  fixture.remembered = 2;
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
   fixture.system.shift(200);
-  t.deepEqual(fixture.calls, ['read', 'watch', 'read', 'read']);
+  await fixture.answerLast(createAnswer(1));
+  t.is(fixture.generation, 2);
 });
 
 test('a daemon that follows another one watches serializably and seldom, and leaves announced reads to that one', async t => {
@@ -146,13 +165,13 @@
   await fixture.answerLast(createAnswer(1));
   t.deepEqual(fixture.consistencies, ['linearizable', 'serializable']);
   t.true((fixture.waitsMs[0] ?? 0) >= 15_000);
-  fixture.follower.receiveGeneration(2);
+  fixture.follower.receiveGeneration(2, ANNOUNCER);
   fixture.system.shift(500);
   t.is(fixture.calls.length, 2);
   fixture.generation = 2;
   fixture.system.shift(200);
   t.is(fixture.calls.length, 2, 'it has arrived with the view');
-  fixture.follower.receiveGeneration(3);
+  fixture.follower.receiveGeneration(3, ANNOUNCER);
   fixture.system.shift(600);
   t.deepEqual(fixture.calls, ['read', 'watch', 'read']);
   t.is(fixture.consistencies[2], 'linearizable');
