--- a/packages/daemon/src/gauge_reporter.ts
+++ b/packages/daemon/src/gauge_reporter.ts
@@ -42,6 +42,7 @@
     metrics.recordGauge('lease.remaining_ms', status.leaseRemainingMs);
     metrics.recordGauge('manifest.generation', status.manifestGeneration);
     metrics.recordGauge('hosts.live', status.liveHosts);
+    metrics.recordGauge('store.era', status.storeEra);
     metrics.recordGauge('store.calls', status.control.storeCalls);
     metrics.recordGauge('store.writes', status.control.storeWrites);
     for (const service of status.services) {
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -46,6 +46,8 @@
   readonly manifestGeneration: number;
   /** False when the last contact to the store is so long ago that a newer configuration may exist. */
   readonly isConfigurationFresh: boolean;
+  /** Era of the store that the daemon knows; rises by one each time the store was restored from a backup. */
+  readonly storeEra: number;
   readonly liveHosts: number;
   readonly control: ControlStatus;
   readonly services: readonly ServiceStatus[];
@@ -78,6 +80,7 @@
       ),
       manifestGeneration,
       isConfigurationFresh: this.view.getSilenceMs() < FRESHNESS_LIMIT_MS,
+      storeEra: this.view.getEra(),
       control: this.readControlStatus(),
       liveHosts: this.view.getLiveSessions().length,
       services: this.registry
