--- a/packages/daemon/src/relay_server.ts
+++ b/packages/daemon/src/relay_server.ts
@@ -94,7 +94,8 @@
     // Values from before the store was restored may be unknown to the follower although it has read the store since.
     const newerKeys = keys.filter(
       key =>
-        this.view.getKnownVersion(key) > revision || !this.view.isCurrent(key),
+        this.view.getKnownVersion(key) > revision ||
+        !this.view.isCurrent(key, revision),
     );
     return this.createResponse(follower, newerKeys, keys);
   }
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -315,14 +315,19 @@
     const listed = new Set([...listedKeys, ACCEPTED_MANIFEST_KEY]);
     for (const key of this.listKeys()) {
       if (listed.has(key)) continue;
-      const isEarlier = getEra(this.getKnownVersion(key)) < getEra(revision);
-      if (isEarlier && isMaintainedByDaemons(key))
+      if (isMaintainedByDaemons(key) && this.isFromBefore(key, revision))
         this.setAbsent(key, revision);
       else if (!key.startsWith(ASSIGNMENT_PREFIX))
         this.removeObject(key, revision);
     }
   }
 
+  /** Returns whether a value was written before the era of a revision, so that a listing may lack it. */
+  private isFromBefore(key: string, revision: number): boolean {
+    const known = this.getVersions(key);
+    return known !== undefined && getEra(getOrigin(known)) < getEra(revision);
+  }
+
   /** Records that the restored store does not contain an object that was known before. */
   setAbsent(key: string, revision: number): void {
     const known = this.getObject(key);
@@ -346,10 +351,14 @@
     return {key, ...versions, value: encodeAssignment(assignment)};
   }
 
-  /** Returns whether the value of an object was written in the era of the store in which it was read. */
-  isCurrent(key: string): boolean {
+  /** Returns whether the value of an object was written in the era in which it was read, and in that of a revision. */
+  isCurrent(key: string, revision: number): boolean {
     const known = this.getVersions(key);
-    return known !== undefined && isOfCurrentEra(known);
+    return (
+      known !== undefined &&
+      isOfCurrentEra(known) &&
+      getEra(known.version) >= getEra(revision)
+    );
   }
 
   /** Returns the version at which a key was deleted; 0 if it was not deleted. */
@@ -400,18 +409,29 @@
     const isNewer = object.version > this.getKnownVersion(key);
     if (known === undefined) return isNewer ? object : undefined;
     const isWrittenLater = getOrigin(object) > getOrigin(known);
-    if (!isNewer)
-      return isWrittenLater
-        ? {...object, ...known, origin: getOrigin(object)}
-        : undefined;
+    const isSameEra = getEra(object.version) === getEra(known.version);
+    if (!isNewer) {
+      // Of two values that the store had in one era, the later version has replaced the other.
+      const isReplaced = isSameEra && isOfCurrentEra(object);
+      if (isReplaced || !isWrittenLater) return undefined;
+      const origin = getOrigin(object);
+      return {key, value: object.value, ...known, origin};
+    }
+    // A writer that does not know the era yet may have replaced a value of this era.
+    if (isSameEra && isOfCurrentEra(known) && known.isAbsent !== true)
+      return {key, value: object.value, version: object.version};
     const isSame = getOrigin(object) === getOrigin(known);
     const kept = isWrittenLater || isSame ? undefined : this.getObject(key);
     if (kept === undefined) return object;
-    this.log.writeInfo('The restored store has an older value of an object.', {
-      key,
-      found: formatVersion(getOrigin(object)),
-      kept: formatVersion(getOrigin(known)),
-    });
+    if (!Buffer.from(kept.value).equals(object.value))
+      this.log.writeInfo(
+        'The restored store has an older value of an object.',
+        {
+          key,
+          found: formatVersion(getOrigin(object)),
+          kept: formatVersion(getOrigin(known)),
+        },
+      );
     return {...object, value: kept.value, origin: getOrigin(known)};
   }
 
@@ -459,7 +479,11 @@
     if (known === undefined || this.accepted === undefined) return object;
     const received = parseJson<AcceptedManifest>(object.value);
     const version = Math.max(known.version, object.version);
-    if (chooseNewer(this.accepted, received) === received)
+    // The operator may use a number again that the restored store has lost.
+    const isWrittenAgain =
+      received.generation === this.accepted.generation &&
+      getEra(getOrigin(object)) > getEra(getOrigin(known));
+    if (isWrittenAgain || chooseNewer(this.accepted, received) === received)
       return {...object, version};
     return version === known.version
       ? undefined
--- a/packages/daemon/test/restored_view.test.ts
+++ b/packages/daemon/test/restored_view.test.ts
@@ -205,6 +205,62 @@
   t.false(after.isUncertain(rewritten));
 });
 
+test('a session that the backup lacks is kept at every listing until it is written again', t => {
+  const view = createView();
+  view.setRevision(createVersion(1, 900));
+  view.applyObject(createSessionObject('b', [1, 1], 900));
+  for (const revision of [300, 305]) {
+    view.setRevision(createVersion(2, revision));
+    view.removeUnlisted([], createVersion(2, revision));
+  }
+  t.deepEqual(readSession(view), {
+    incarnation: 'b',
+    version: '2.305',
+    origin: '1.900',
+    expected: '0.0',
+  });
+});
+
+test('an older record of absence does not make a present object absent', t => {
+  const view = createView();
+  const present = createSessionObject('a', [1, 3], 150);
+  view.applyObject({...present, origin: createVersion(1, 150)});
+  const absent = createSessionObject('b', [1, 2], 210);
+  const origin = createVersion(1, 280);
+  view.applyObject({...absent, origin, isAbsent: true});
+  t.deepEqual(readSession(view), {
+    incarnation: 'b',
+    version: '3.150',
+    origin: '1.280',
+    expected: '3.150',
+  });
+});
+
+test('what a daemon wrote that did not know the new era yet replaces an earlier value of that era', t => {
+  const view = createView();
+  view.applyObject(createSessionObject('a', [2, 2], 300));
+  view.applyObject(createSessionObject('b', [1, 2], 301));
+  t.is(readSession(view)?.incarnation, 'b');
+  view.applyObject(createSessionObject('a', [2, 2], 300));
+  t.is(readSession(view)?.incarnation, 'b');
+});
+
+test('a configuration number that is used again after a restoration takes effect with its new content', t => {
+  const view = createView();
+  view.applyObject(createConfiguration(1, 900, 7));
+  const value = Buffer.from(
+    JSON.stringify({
+      generation: 7,
+      sourceVersion: 2,
+      manifest: {services: {}, routes: []},
+    }),
+  );
+  view.applyObject({...createConfiguration(2, 300, 7), value});
+  t.deepEqual(view.getManifest()?.manifest.routes, []);
+  view.applyObject(createConfiguration(1, 900, 7));
+  t.deepEqual(view.getManifest()?.manifest.routes, []);
+});
+
 test('in a store without eras a lower version changes nothing', t => {
   const view = createView();
   view.applyObject(createSessionObject('b', [0, 0], 900));
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -65,6 +65,9 @@
 const NOT_FOUND_STATUS = 404;
 const TOO_MANY_REQUESTS_STATUS = 429;
 const UNAVAILABLE_STATUS = 503;
+/** Query parameter of reads that copies of the store may answer. */
+const SERIALIZABLE_PARAMETER = 'serializable=1';
+
 interface Reply {
   readonly status: number;
   readonly body: unknown;
@@ -147,7 +150,9 @@
         : {name, rev: getRevision(expectedVersion)};
       const spec = {
         value: Buffer.from(value).toString('base64'),
-        ...(era.right === 0 ? {} : {era: era.right}),
+        ...(era.right === 0
+          ? {}
+          : {era: era.right, base: getRevision(expectedVersion)}),
       };
       const body = {metadata, spec};
       const method = isNew ? 'POST' : 'PUT';
@@ -181,9 +186,11 @@
         reply.right.status === NOT_FOUND_STATUS
       )
         return E.left(createConflict(expectedVersion, reply.right));
-      return reply.right.status < 300
+      if (reply.right.status >= 300)
+        return E.left(createFailure(reply.right.status));
+      return reply.right.era === era.right
         ? E.right(expectedVersion)
-        : E.left(createFailure(reply.right.status));
+        : E.left(createUnknown());
     };
   }
 
@@ -289,11 +296,8 @@
     after: string,
     consistency?: ReadConsistency,
   ) {
-    const path = formatPath(kind, undefined, {
-      ...(after === '' ? {} : {after}),
-      ...formatConsistency(consistency),
-    });
-    const reply = await this.call('GET', path, CALL_TIMEOUT_MS);
+    const path = formatPath(kind, undefined, after === '' ? {} : {after});
+    const reply = await this.read(path, CALL_TIMEOUT_MS, consistency);
     if (E.isLeft(reply)) return reply;
     const page = readBody(listSchema, reply.right);
     return E.isLeft(page)
@@ -313,10 +317,9 @@
     const path = formatPath(kind, undefined, {
       watch: String(getRevision(revision)),
       wait_ms: String(Math.round(waitMs)),
-      ...formatConsistency(consistency),
     });
     const timeoutMs = waitMs + WATCH_GRACE_MS;
-    const reply = await this.call('GET', path, timeoutMs, undefined, signal);
+    const reply = await this.read(path, timeoutMs, consistency, signal);
     if (E.isLeft(reply)) return reply;
     const {status, era} = reply.right;
     // In a later era, the same revision stands for another state.
@@ -342,6 +345,28 @@
     return E.left({kind: 'conflict', text});
   }
 
+  /**
+   * Reads with a consistency. Copies may be behind the restoration that started an era, whatever era their responses
+   * name, so none of their responses counts that names an era for the first time, nor for some time after.
+   */
+  private async read(
+    path: string,
+    timeoutMs: number,
+    consistency: ReadConsistency = 'linearizable',
+    signal?: AbortSignal,
+  ): Promise<E.Either<StoreFailure, Reply>> {
+    const isCopyAllowed =
+      consistency === 'serializable' && this.era.isSettled();
+    const separator = path.includes('?') ? '&' : '?';
+    const target = isCopyAllowed
+      ? `${path}${separator}${SERIALIZABLE_PARAMETER}`
+      : path;
+    const reply = await this.call('GET', target, timeoutMs, undefined, signal);
+    const isDoubtful =
+      isCopyAllowed && E.isRight(reply) && !this.era.isSettled();
+    return isDoubtful ? E.left(createRestored()) : reply;
+  }
+
   private async call(
     method: Method,
     path: string,
@@ -434,12 +459,6 @@
   return parameters === '' ? path : `${path}?${parameters}`;
 }
 
-function formatConsistency(
-  consistency: ReadConsistency = 'linearizable',
-): Readonly<Record<string, string>> {
-  return consistency === 'serializable' ? {serializable: '1'} : {};
-}
-
 /** Replaces the first slash of a key by a dot, because object names cannot contain slashes. */
 function formatObjectName(key: string): string {
   return key.replace('/', '.');
@@ -457,11 +476,12 @@
   const spec = valueSchema.safeParse(object.spec);
   if (!spec.success || object.metadata.deleting === true) return undefined;
   const {rev} = object.metadata;
-  const {value, era: writtenEra = 0} = spec.data;
+  const {value, era: writtenEra = 0, base = rev} = spec.data;
+  // A write that was sent before the store was restored may have been applied since, at a revision of the new era.
   return {
     key: parseObjectName(object.metadata.name),
     version: createVersion(era, rev),
-    ...(writtenEra >= era ? {} : {origin: createVersion(writtenEra, rev)}),
+    ...(writtenEra >= era ? {} : {origin: createVersion(writtenEra, base)}),
     value: Buffer.from(value, 'base64'),
   };
 }
--- a/packages/platform/src/store_era.ts
+++ b/packages/platform/src/store_era.ts
@@ -10,14 +10,26 @@
 
 /** Header of the store's responses that carries the era. */
 export const ERA_HEADER = 'store-era';
+/** Time for which copies may be behind: several times the delay that the platform states. */
+const SETTLE_MS = 30_000;
 const ERA_PATTERN = /^\d{1,6}$/;
 
 /** Tracks the highest era that was seen. */
 export class StoreEra {
   private highest: number | undefined;
+  private settledAtMs = -Infinity;
   private hasLoggedInvalid = false;
 
-  constructor(private readonly log: Log) {}
+  /** @param getNowMs Returns the monotonic time, in milliseconds. */
+  constructor(
+    private readonly log: Log,
+    private readonly getNowMs = () => performance.now(),
+  ) {}
+
+  /** Returns whether copies of the store have had the time to follow the restoration that started the era. */
+  isSettled(): boolean {
+    return this.getNowMs() >= this.settledAtMs;
+  }
 
   /** Returns the highest era seen; 0 before the first one. */
   get(): number {
@@ -39,12 +51,14 @@
       return this.get();
     }
     if (this.highest === undefined || era > this.highest) this.setHighest(era);
+    else if (era < this.highest) this.startSettling();
     return era;
   }
 
   private setHighest(era: number): void {
     const {highest: before} = this;
     this.highest = era;
+    this.startSettling();
     if (before !== undefined)
       this.log.writeWarning('The store was restored from a backup.', {
         era,
@@ -52,6 +66,10 @@
       });
   }
 
+  private startSettling(): void {
+    this.settledAtMs = this.getNowMs() + SETTLE_MS;
+  }
+
   private recordInvalid(header: string): void {
     if (this.hasLoggedInvalid) return;
     this.hasLoggedInvalid = true;
--- a/packages/platform/src/wire.ts
+++ b/packages/platform/src/wire.ts
@@ -190,4 +190,6 @@
   value: z.string(),
   /** Era of the store in which the object was written. */
   era: z.number().int().min(0).optional(),
+  /** Revision that it replaced; 0 if it was created. */
+  base: z.number().int().min(0).optional(),
 });
--- a/packages/store/src/version.ts
+++ b/packages/store/src/version.ts
@@ -8,14 +8,14 @@
  */
 import type {ObjectVersion} from './types.js';
 
-const REVISION_BITS = 40;
+const REVISION_BITS = 41;
 /** Number of revisions of one era. */
 const REVISION_LIMIT = 2 ** REVISION_BITS;
 
 /** Highest era that a version can hold; both parts together fit into a safe integer. */
 export const MAX_ERA = 2 ** (53 - REVISION_BITS) - 1;
 
-/** Returns the version for an era of the store and a revision. Revisions are below 2^40. */
+/** Returns the version for an era of the store and a revision. Revisions are below 2^41. */
 export function createVersion(era: number, revision: number): ObjectVersion {
   return era * REVISION_LIMIT + revision;
 }
@@ -40,15 +40,16 @@
   /** Version at which the object was read; conditional updates expect it. */
   readonly version: ObjectVersion;
   /**
-   * Version at which the value was written; absent if it equals `version`. It is of an earlier era if the value
-   * was written before the store was restored.
+   * Version by which values of one object are ordered in time; absent if it equals `version`. It is of an earlier era
+   * if the value was written before the store was restored: the version at which it was written or, if that is not
+   * certain, the one that it replaced.
    */
   readonly origin?: ObjectVersion;
   /** Whether the restored store does not contain the object. */
   readonly isAbsent?: boolean;
 }
 
-/** Returns the version at which a value was written. */
+/** Returns the version by which a value is ordered in time. */
 export function getOrigin({version, origin}: VersionedValue): ObjectVersion {
   return origin ?? version;
 }
