--- a/packages/ownership/src/placement.ts
+++ b/packages/ownership/src/placement.ts
@@ -25,6 +25,8 @@
   /** Member that makes the decision. */
   readonly writer: Member;
   readonly present: Assignment | undefined;
+  /** Generation that the first assignment exceeds; default 0. */
+  readonly lastGeneration?: number;
   /** Members to whose servers slices may be assigned. */
   readonly eligible: readonly Member[];
   /** Returns whether a member has ended permanently. */
@@ -57,7 +59,7 @@
 /** Returns the next assignment, or undefined if the current one stays in force. */
 export function planAssignment(input: PlacementInput): Assignment | undefined {
   const {present, eligible} = input;
-  const generation = (present?.generation ?? 0) + 1;
+  const generation = (present?.generation ?? input.lastGeneration ?? 0) + 1;
   const plannedCount = Math.min(
     MAX_SLICES,
     input.slicesPerServer * eligible.length,
--- a/packages/ownership/src/slice_gate.ts
+++ b/packages/ownership/src/slice_gate.ts
@@ -106,6 +106,14 @@
     );
   }
 
+  /** Returns the slices that this member owns and has released. */
+  getReleasedSlices(): readonly Slice[] {
+    const slices = this.assignment?.slices ?? [];
+    return getOwnedSlices(slices, this.member).filter(slice =>
+      this.isReleased(slice),
+    );
+  }
+
   /**
    * Filters out slices that this member knows with a different end. They have been split, and releasing the
    * whole slice for one part would make the rest unavailable until this member learns of the split.
--- a/packages/ownership/test/slice_gate.test.ts
+++ b/packages/ownership/test/slice_gate.test.ts
@@ -45,7 +45,12 @@
 
 test('a released slice is no longer held', t => {
   const gate = createGate();
+  t.deepEqual(gate.getReleasedSlices(), []);
   gate.releaseSlices([FIRST]);
+  t.deepEqual(
+    gate.getReleasedSlices().map(({start, token}) => ({start, token})),
+    [FIRST],
+  );
   t.deepEqual(
     gate.getHeldSlices().map(slice => slice.start),
     [100],
