Expect no version of an object that the restored store lacks

Where the copy lacked the accepted configuration or its status, a coordinator expected the version of the era before; each update conflicted, the read after it found nothing, and the view learned nothing: the next update expected the same.

Change: a read that finds nothing marks the object as absent if it is known from an earlier era, so that the next update expects 0.

Ruled out: a pause after conflicts. It slows the loop and does not end it.

Before: read in the code, not run.

--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -23,6 +23,7 @@
   VersionedAssignment,
 } from '@dottereldrift/ownership/types.js';
 import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
+import {getExpectedVersion} from '@dottereldrift/store/version.js';
 
 import type {PeerClients} from './peer_client.js';
 import type {PlacementPlanner} from './placement_planner.js';
@@ -153,7 +154,7 @@
     }
     await this.tryWriteJson(
       MANIFEST_STATUS_KEY,
-      status?.version ?? 0,
+      getExpectedVersion(this.view.getObject(MANIFEST_STATUS_KEY)),
       decision.status,
     );
     this.log.writeInfo(
@@ -211,8 +212,7 @@
 
   private async refreshObject(key: string): Promise<void> {
     const read = await this.store.getObject(key)();
-    if (E.isRight(read) && read.right !== undefined)
-      this.view.applyObject(read.right);
+    if (E.isRight(read)) this.view.applyRead(key, read.right);
   }
 
   private async placeService(
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -40,6 +40,7 @@
 import {
   formatVersion,
   getEra,
+  getExpectedVersion,
   getOrigin,
   isOfCurrentEra,
   type VersionedValue,
@@ -69,7 +70,6 @@
   private readonly assignments = new Map<ServiceName, VersionedAssignment>();
   private readonly drainVersions = new Map<HostName, number>();
   private accepted: AcceptedManifest | undefined;
-  private acceptedVersion = 0;
   private acceptedAtMs = -Infinity;
   private submitted: StoredObject | undefined;
   private status:
@@ -179,8 +179,9 @@
     return this.system.getNow().monotonicMs - this.acceptedAtMs;
   }
 
+  /** Returns the version that an update of the accepted configuration expects; 0 if the store has none. */
   getAcceptedVersion(): number {
-    return this.acceptedVersion;
+    return getExpectedVersion(this.objects.get(ACCEPTED_MANIFEST_KEY));
   }
 
   getSubmitted(): StoredObject | undefined {
@@ -275,6 +276,13 @@
     if (this.tryApply(object)) this.notifyListeners();
   }
 
+  /** Applies the result of reading a single object; undefined if the store does not contain it. */
+  applyRead(key: string, object: StoredObject | undefined): void {
+    if (object !== undefined) this.applyObject(object);
+    else if (getEra(this.getKnownVersion(key)) < this.getEra())
+      this.setAbsent(key, this.revision);
+  }
+
   /** Applies objects that were read together and notifies listeners once. */
   applyObjects(objects: readonly StoredObject[]): void {
     const applied = objects.filter(object => this.tryApply(object));
@@ -495,7 +503,6 @@
     if (received.generation !== this.accepted?.generation)
       this.acceptedAtMs = this.system.getNow().monotonicMs;
     this.accepted = received;
-    this.acceptedVersion = object.version;
   }
 
   private notifyChange(key: string): void {
--- a/packages/daemon/src/store_watcher.ts
+++ b/packages/daemon/src/store_watcher.ts
@@ -151,7 +151,6 @@
 
   private async tryReadObject(key: string): Promise<void> {
     const read = await this.store.getObject(key)();
-    if (E.isRight(read) && read.right !== undefined)
-      this.view.applyObject(read.right);
+    if (E.isRight(read)) this.view.applyRead(key, read.right);
   }
 }
