Recover assignments after the store was restored, and grant by none that may be out of date

A coordinator whose view comes from the copy placed slices by it; a daemon that started after the return granted its server what the copy says, though later writes, now lost, may have moved it.

Change: before any other change of an assignment that is not of the store's era, or that is absent in a restored store, the coordinator asks every live daemon (DescribeAssignment, at most 32 at once, 1 s each; who has answered is not asked again) in the background and writes what the decision of the commit before says. It waits 2.1 s for daemons without memory (lease and drift: grants of their predecessors have ended), 4 s for live ones that do not answer (witnesses end a lost member within about 3 s), 10 s while nobody is certain. Assignments reach owner, grants and registry in one place, applyView, which now passes on only those that are not uncertain. A server that starts while its daemon's assignment is uncertain counts all tokens of earlier eras as those of its predecessor. A session read only after the return does not prove that a later member of its host has ended. The answer also lists the slices whose release was asked for (new field `released`): where nobody remembers the move, the owner would never serve them again.

An object whose value is older than the known one counts as not confirmed in the same era too: a late write of an earlier era may match a revision that was given out twice. isUncertain also holds for objects that arrive before the first revision, and from a relay that is behind; both passed for certain.

Ruled out: waiting with the comparison of server incarnations until the assignment is known. Servers are published only after it, and a first placement needs a published server.

Before: DescribeAssignment unimplemented.

--- a/packages/daemon/src/control_counters.ts
+++ b/packages/daemon/src/control_counters.ts
@@ -50,6 +50,8 @@
   storeBytes: number;
   relayBytesSent: number;
   relayBytesReceived: number;
+  /** Recoveries of an assignment that this daemon started after the store was restored. */
+  assignmentRecoveries: number;
 }
 
 /** Creates counters that start at 0. */
@@ -62,6 +64,7 @@
     storeBytes: 0,
     relayBytesSent: 0,
     relayBytesReceived: 0,
+    assignmentRecoveries: 0,
   };
 }
 
--- a/packages/daemon/src/coordinator.ts
+++ b/packages/daemon/src/coordinator.ts
@@ -18,6 +18,7 @@
 import {chooseCoordinator} from '@dottereldrift/ownership/coordinator_choice.js';
 import {getSliceEnd} from '@dottereldrift/ownership/slices.js';
 import type {
+  Assignment,
   Slice,
   SliceRef,
   VersionedAssignment,
@@ -25,6 +26,7 @@
 import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
 import {getExpectedVersion} from '@dottereldrift/store/version.js';
 
+import type {AssignmentRecovery} from './assignment_recovery.js';
 import type {PeerClients} from './peer_client.js';
 import type {PlacementPlanner} from './placement_planner.js';
 import {
@@ -75,6 +77,7 @@
     private readonly isActive: () => boolean,
     private readonly releaseLocally: LocalRelease,
     private readonly planner: PlacementPlanner,
+    private readonly recovery: AssignmentRecovery,
     private readonly log: Log,
   ) {}
 
@@ -224,30 +227,58 @@
     // decision, such as sessions, must be at least as recent as the assignment.
     if (!this.view.isComplete(current?.version ?? 0)) return true;
     const eligible = this.listEligibleMembers(service);
-    if (current === undefined && !this.isFirstPlacementDue(service, eligible))
-      return false;
+    const isDue =
+      current !== undefined || this.isFirstPlacementDue(service, eligible);
+    if (this.recovery.isNeeded(service)) return this.continueRecovery(service);
+    this.recovery.finish(service);
+    if (!isDue) return false;
     const releasedSlices = this.collectReleases(service, current);
     const next = this.planner.plan({
       service,
       writer: this.getSelf(),
       present: current?.assignment,
       eligible,
-      isEnded: member => this.view.isEnded(member),
+      isEnded: member => this.isEnded(member),
       getSuccessor: member => this.view.getSuccessor(member),
       getVoidToken: ({host}) => this.view.getVoidToken(host, service),
       released: releasedSlices,
       slicesPerServer: rules.slicesPerServer,
+      lastGeneration: this.recovery.getLastGeneration(service),
     });
-    if (next !== undefined) {
-      await this.writeAssignment({
-        assignment: next,
-        version: current?.version ?? 0,
-      });
-    }
+    if (next !== undefined) await this.writeAssignment(next, current);
     const slices = next?.slices ?? current?.assignment.slices ?? [];
     return slices.some(slice => slice.nextOwner !== undefined);
   }
 
+  /**
+   * Writes the assignment that was written last before the store was restored, once it is known. Returns whether to
+   * look again soon.
+   */
+  private async continueRecovery(service: ServiceName): Promise<boolean> {
+    const decision = this.recovery.continueRecovery(service, () => {
+      this.hasChanged = true;
+      this.wake();
+    });
+    if (decision.kind !== 'write') return true;
+    const {assignment} = decision;
+    await this.writeAssignment(assignment, this.view.getAssignment(service));
+    if (!this.recovery.isNeeded(service)) this.recovery.finish(service);
+    return true;
+  }
+
+  /**
+   * Returns whether a member has ended. A session that this daemon read only after the store was restored may be older
+   * than the one of the member; it proves the end only of the member that it names.
+   */
+  private isEnded(member: Member): boolean {
+    const entry = this.view.getSession(member.host);
+    const isNamed =
+      entry !== undefined && isSameMember(entry.session.member, member);
+    return (
+      this.view.isEnded(member) && (isNamed || !this.view.isUncertain(entry))
+    );
+  }
+
   private isFirstPlacementDue(
     service: ServiceName,
     eligible: readonly Member[],
@@ -275,9 +306,13 @@
       .sort((a, b) => (formatMember(a) < formatMember(b) ? -1 : 1));
   }
 
-  private async writeAssignment(next: VersionedAssignment): Promise<void> {
-    const {assignment, version} = next;
+  /** Writes an assignment in place of the present one. */
+  private async writeAssignment(
+    assignment: Assignment,
+    present: VersionedAssignment | undefined,
+  ): Promise<void> {
     const key = getAssignmentKey(assignment.service);
+    const version = getExpectedVersion(present);
     const value = encodeAssignment(assignment);
     const written = await this.store.updateObject(key, version, value)();
     if (E.isRight(written)) {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,8 +18,9 @@
 import type {SlotRefusal} from '@dottereldrift/limits/types.js';
 import type {Session} from '@dottereldrift/membership/types.js';
 import type {Datagram} from '@dottereldrift/rpc/gen/dottereldrift/v1/datagram_pb.js';
-import type {Address} from '@dottereldrift/core/types.js';
+import type {Address, ServiceName, Token} from '@dottereldrift/core/types.js';
 
+import {AssignmentRecovery} from './assignment_recovery.js';
 import {BurnReport} from './burn_report.js';
 import {
   type ControlCounters,
@@ -137,6 +138,7 @@
   protected readonly sliceReleaser: SliceReleaser;
   private readonly forwarder: Forwarder;
   protected readonly entry: Entry;
+  private readonly recovery: AssignmentRecovery;
   private readonly coordinator: Coordinator;
   private readonly loadTracker: LoadTracker;
   private readonly loadReporter: LoadReporter;
@@ -233,6 +235,7 @@
       (service, slots) => this.createPolicy(service, slots),
       {
         getAssignment: service => this.owner.getAssignment(service),
+        getHighestToken: service => this.getHighestToken(service),
         getHeldSlices: service => this.owner.getHeldSlices(service),
         isExpecting: service => this.owner.isExpecting(service),
         mayGrant: service =>
@@ -350,6 +353,15 @@
       this.loopMonitor,
       this.pacer,
     );
+    this.recovery = new AssignmentRecovery(
+      system,
+      this.view,
+      peers,
+      getSelf,
+      service => this.sliceReleaser.listReleases(service),
+      this.counters,
+      this.log.createChild('coordinator'),
+    );
     this.coordinator = new Coordinator(
       system,
       this.store,
@@ -360,6 +372,7 @@
       (service, owner, nextOwner, refs) =>
         this.sliceReleaser.release(service, owner, nextOwner, refs),
       new PlacementPlanner(this.view, this.loadTracker, settings.loadPace),
+      this.recovery,
       this.log.createChild('coordinator'),
     );
   }
@@ -528,6 +541,7 @@
       sliceReleaser: this.sliceReleaser,
       loadTracker: this.loadTracker,
       relay: this.viewReplication.relay,
+      recovery: this.recovery,
       store: this.store,
       survey: this.survey,
       system: this.system,
@@ -589,7 +603,7 @@
   }
 
   private applyView(): void {
-    for (const {assignment} of this.view.getAssignments()) {
+    for (const {assignment} of this.view.getGrantableAssignments()) {
       this.owner.applyAssignment(assignment);
       this.loadReporter.applyAssignment(assignment);
     }
@@ -600,6 +614,12 @@
     this.registry.sendGrants();
   }
 
+  /** Returns the highest token that a server on this host may have been granted, also by an earlier process. */
+  private getHighestToken(service: ServiceName): Token {
+    const generation = this.owner.getAssignment(service)?.generation ?? 0;
+    return Math.max(generation, this.recovery.getHighestLostToken(service));
+  }
+
   /**
    * Ends the session of an earlier incarnation on this host. If that incarnation recorded the peer
    * address that this process now listens on, its process is gone, so it is enough to wait until its
--- a/packages/daemon/src/heartbeat_grants.ts
+++ b/packages/daemon/src/heartbeat_grants.ts
@@ -219,6 +219,13 @@
     if (this.hasLapsed()) this.stopRequestedReleases();
   }
 
+  /** Lists the slices in the assignment whose release was requested. */
+  listRequestedReleases(): readonly SliceRef[] {
+    return [...this.releases.values()]
+      .map(({ref}) => ref)
+      .filter(ref => this.isInAssignment(ref));
+  }
+
   /** Returns the requested slices for which no server on this host can start a request any more. */
   findReleased(refs: readonly SliceRef[]): readonly SliceRef[] {
     const isLapsed = this.hasLapsed();
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -119,6 +119,11 @@
     return this.services.get(service)?.gate.getHeldSlices() ?? [];
   }
 
+  /** Returns the slices that this daemon owns and has released. */
+  getReleasedSlices(service: ServiceName): readonly Slice[] {
+    return this.services.get(service)?.gate.getReleasedSlices() ?? [];
+  }
+
   getAssignment(service: ServiceName): Assignment | undefined {
     return this.services.get(service)?.gate.getAssignment();
   }
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -11,6 +11,10 @@
 import {parseMember} from '@dottereldrift/membership/session_record.js';
 import {PeerService} from '@dottereldrift/rpc/gen/dottereldrift/v1/peer_pb.js';
 
+import {
+  type AssignmentRecovery,
+  encodeDescription,
+} from './assignment_recovery.js';
 import type {ConfigurationSurvey} from './configuration_survey.js';
 import {KeyVerifier} from './key_verifier.js';
 import {parseIdempotencyEntry} from './idempotency_entry_codec.js';
@@ -30,6 +34,7 @@
   readonly sliceReleaser: SliceReleaser;
   readonly loadTracker: LoadTracker;
   readonly relay: RelayServer;
+  readonly recovery: Pick<AssignmentRecovery, 'readOwnAssignment'>;
   readonly survey: Pick<ConfigurationSurvey, 'readOwnState'>;
   readonly store: Pick<PeerBackedStore, 'updateDirectly'>;
   readonly system: System;
@@ -98,6 +103,8 @@
       parts.loadTracker.receiveReport(parseReport(request));
       return {};
     },
+    describeAssignment: ({service}) =>
+      encodeDescription(service, parts.recovery.readOwnAssignment(service)),
     describeConfiguration: () => {
       const {generation, ...times} = parts.survey.readOwnState();
       return {generation: BigInt(generation), ...times};
--- a/packages/daemon/src/server_registry.ts
+++ b/packages/daemon/src/server_registry.ts
@@ -240,6 +240,14 @@
     return tracker.findReleased(refs);
   }
 
+  /** Lists the slices whose release was requested with the server's next heartbeat. */
+  listRequestedReleases(service: ServiceName): readonly SliceRef[] {
+    const tracker = this.grantTrackers.get(service);
+    return tracker instanceof HeartbeatGrants
+      ? tracker.listRequestedReleases()
+      : [];
+  }
+
   /**
    * Assigns each new server incarnation the token up to which slices may have been granted to a
    * previous one.
@@ -272,7 +280,7 @@
     // no heartbeats to this process.
     if (this.session.hasAdoptedSession()) this.awaitingLapse.add(info.service);
     if (info.life === undefined) return info;
-    const voidToken = this.owned.getAssignment(info.service)?.generation ?? 0;
+    const voidToken = this.owned.getHighestToken(info.service);
     this.log.writeInfo(
       'A new server incarnation was detected; its slices get new tokens.',
       {
--- a/packages/daemon/src/server_types.ts
+++ b/packages/daemon/src/server_types.ts
@@ -3,7 +3,7 @@
  */
 import type {Dispatcher} from 'undici';
 
-import type {ServiceName} from '@dottereldrift/core/types.js';
+import type {ServiceName, Token} from '@dottereldrift/core/types.js';
 import type {SlotPolicy} from '@dottereldrift/limits/types.js';
 import type {ServerInfo} from '@dottereldrift/membership/types.js';
 import type {Assignment, Slice} from '@dottereldrift/ownership/types.js';
@@ -60,6 +60,8 @@
   /** Tells whether the slices known here are the complete set that this daemon's server is to hold. */
   mayGrant(service: ServiceName): boolean;
   getAssignment(service: ServiceName): Assignment | undefined;
+  /** Returns the highest token that a server on this host may have been granted so far. */
+  getHighestToken(service: ServiceName): Token;
   /** Tells whether a planned move is bringing slices to this daemon. */
   isExpecting(service: ServiceName): boolean;
   /** Returns the slices that this daemon owns and has not released. */
--- a/packages/daemon/src/slice_releaser.ts
+++ b/packages/daemon/src/slice_releaser.ts
@@ -61,6 +61,16 @@
     return idle;
   }
 
+  /** Lists the slices that this daemon has released, or was asked to release, under their present tokens. */
+  listReleases(service: ServiceName): readonly SliceRef[] {
+    const requested = this.registry.listRequestedReleases(service);
+    const released = this.owner.getReleasedSlices(service);
+    return [...requested, ...released].map(({start, token}) => ({
+      start,
+      token,
+    }));
+  }
+
   private writeRelease(
     service: ServiceName,
     nextOwner: Member,
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -170,6 +170,14 @@
     return [...this.assignments.values()];
   }
 
+  /**
+   * Returns the assignments by which this daemon may grant its slices. Others may be older than what an earlier
+   * process on this host, or another host, granted by.
+   */
+  getGrantableAssignments(): readonly VersionedAssignment[] {
+    return this.getAssignments().filter(entry => !this.isUncertain(entry));
+  }
+
   getManifest(): AcceptedManifest | undefined {
     return this.accepted;
   }
@@ -251,12 +259,18 @@
 
   /**
    * Returns whether a value may be older than what the store contained before it was restored: it was written in an
-   * earlier era, and this daemon did not have it then.
+   * earlier era, and this daemon did not have it then. The absence of an object is uncertain if the store has been
+   * restored and this daemon did not read it before.
    */
-  isUncertain(known: VersionedValue): boolean {
-    return (
-      !isOfCurrentEra(known) && getEra(getOrigin(known)) < (this.firstEra ?? 0)
-    );
+  isUncertain(known: VersionedValue | undefined): boolean {
+    if (known === undefined)
+      return (
+        this.firstEra === undefined ||
+        (this.firstEra > 0 && this.firstEra === this.getEra())
+      );
+    // The first objects may arrive before the revision up to which they are complete.
+    const firstEra = this.firstEra ?? getEra(known.version);
+    return getEra(getOrigin(known)) < firstEra;
   }
 
   /** Records that the store responded to this or another daemon the given time ago. */
--- a/packages/daemon/test/coordinator.test.ts
+++ b/packages/daemon/test/coordinator.test.ts
@@ -21,6 +21,8 @@
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
 import type {StoredObject, StoreFailure} from '@dottereldrift/store/types.js';
 
+import {AssignmentRecovery} from '../src/assignment_recovery.js';
+import {createCounters} from '../src/control_counters.js';
 import {Coordinator} from '../src/coordinator.js';
 import {LoadTracker} from '../src/load_tracker.js';
 import {PlacementPlanner} from '../src/placement_planner.js';
@@ -101,15 +103,26 @@
   readonly store = new RefusingStore(this.system);
   readonly view = new StoreView(this.system, LOG);
   readonly watcher = new StoreWatcher(this.system, this.store, this.view, LOG);
+  readonly peers = {
+    getClient: () => {
+      throw new Error('no peer is called');
+    },
+  };
+  readonly counters = createCounters();
+  readonly recovery = new AssignmentRecovery(
+    this.system,
+    this.view,
+    this.peers,
+    () => SELF,
+    () => [],
+    this.counters,
+    LOG,
+  );
   readonly coordinator = new Coordinator(
     this.system,
     this.store,
     this.view,
-    {
-      getClient: () => {
-        throw new Error('no peer is called');
-      },
-    },
+    this.peers,
     () => SELF,
     () => true,
     () => Promise.resolve([]),
@@ -117,6 +130,7 @@
       maxDeviation: 0.2,
       mergeFactor: 2,
     }),
+    this.recovery,
     LOG,
   );
 
--- a/packages/daemon/test/heartbeat_grants.test.ts
+++ b/packages/daemon/test/heartbeat_grants.test.ts
@@ -236,3 +236,12 @@
   ]);
   t.false(bench.grants.isReleasing());
 });
+
+test('a release that was requested is listed until the slice has another token', t => {
+  const bench = new Bench();
+  t.deepEqual(bench.grants.listRequestedReleases(), []);
+  bench.requestRelease();
+  t.deepEqual(bench.grants.listRequestedReleases(), [FIRST]);
+  bench.assigned = [{...FIRST, token: 9}, SECOND];
+  t.deepEqual(bench.grants.listRequestedReleases(), []);
+});
--- a/packages/daemon/test/server_heartbeats.test.ts
+++ b/packages/daemon/test/server_heartbeats.test.ts
@@ -66,6 +66,7 @@
     () => new FifoPolicy(this.system, 1, () => 10),
     {
       getAssignment: () => ASSIGNMENT,
+      getHighestToken: () => ASSIGNMENT.generation,
       getHeldSlices: () => this.held,
       mayGrant: () => this.mayGrant,
       isExpecting: () => this.isExpecting,
--- a/packages/daemon/test/server_registry.test.ts
+++ b/packages/daemon/test/server_registry.test.ts
@@ -47,6 +47,7 @@
     () => this.policy,
     {
       getAssignment: () => this.assignment,
+      getHighestToken: () => this.assignment?.generation ?? 0,
       getHeldSlices: () => [],
       isExpecting: () => false,
       mayGrant: () => true,
