Keep all witness sets active over a new era, and write the session again

Cause: the writer took every higher version as news of its session. After the store has come back from an older copy, the object has a higher version and older content, with a witness set that nobody renews by, and a lost answer counted as settled.

Ruled out: to adopt what the copy has, and to drop the unsettled sets because the version rose.

Change: the session that was written last stays in force, with the version at which the store has the object now (0 to expect if it lacks it). It is written again, whatever is wanted, if the store does not have it at that version. Sets stay active until a write in the new era has succeeded, those of writes of the era before whose answers come later too. An unsettled set is retried, as before. An end or another incarnation counts only if it was written later.

The condition is "origin differs from version", not only "of an earlier era": a late write of an earlier era may replace the session after it was written again.

--- a/packages/membership/src/session_writer.ts
+++ b/packages/membership/src/session_writer.ts
@@ -6,11 +6,21 @@
  * take effect at any time; reading the expected version does not rule that out. It is settled only by a
  * version above the one in force or by the success of another conditional update of that version. Until then
  * the lease requires a majority of every witness set that may be in force.
+ *
+ * A store that was restored from a backup may lack the latest session, or may have an older one. The member keeps the
+ * session that was written last, takes on the version at which the store has the object now, and writes the session
+ * again. A write of an earlier era may still take effect in the restored store, so all witness sets stay active until
+ * a write in the new era has succeeded.
  */
 import {isDeepStrictEqual} from 'node:util';
 
 import {isSameMember} from '@dottereldrift/core/member.js';
 import type {Member} from '@dottereldrift/core/types.js';
+import {
+  getExpectedVersion,
+  getOrigin,
+  type VersionedValue,
+} from '@dottereldrift/store/version.js';
 
 import {encodeSession} from './session_record.js';
 import type {Session, VersionedSession} from './types.js';
@@ -25,11 +35,14 @@
 /** A member's knowledge of its own session. */
 export interface SessionWriterState {
   readonly member: Member;
-  /** The latest session known to be stored; undefined before the first write succeeds. */
+  /**
+   * The session that was written last, with the version at which the store has the object now; undefined before the
+   * first write succeeds.
+   */
   readonly inForce: VersionedSession | undefined;
   /** The write that awaits its answer. */
   readonly underWay: SessionWrite | undefined;
-  /** Witness sets of writes whose answers were lost and that expect the version in force. */
+  /** Witness sets that may be in force beside that of `inForce`: those of writes whose answers were lost. */
   readonly unsettledSets: ReadonlyArray<readonly Member[]>;
 }
 
@@ -79,6 +92,14 @@
 
 const NO_EFFECT: WriterEffect = {kind: 'none'};
 
+/**
+ * Returns whether the store has the known value at the known version. It may have an older value if it was restored
+ * from a backup, or if a write of an earlier era has reached it since.
+ */
+export function isConfirmed(known: VersionedValue): boolean {
+  return getOrigin(known) === known.version;
+}
+
 /** Creates the state of a member without a session. */
 export function createWriterState(member: Member): SessionWriterState {
   return {member, inForce: undefined, underWay: undefined, unsettledSets: []};
@@ -139,7 +160,7 @@
   const isPredecessor =
     wanted.follows?.includes(found.session.member.incarnation) === true;
   if (found.session.isEnded || isPredecessor)
-    return startWrite(state, wanted, found.version);
+    return startWrite(state, wanted, getExpectedVersion(found));
   return {state, effect: {kind: 'end-earlier', earlier: found}};
 }
 
@@ -148,14 +169,29 @@
   inForce: VersionedSession,
   wanted: Session,
 ): WriterStep {
-  const latest = state.unsettledSets[state.unsettledSets.length - 1];
-  if (latest !== undefined) {
-    // Retries the unsettled witness set; a third set must not become possible before it is settled.
-    const retried = {...wanted, witnesses: latest};
-    return startWrite(state, retried, inForce.version);
-  }
-  if (isSameSession(inForce.session, wanted)) return {state, effect: NO_EFFECT};
-  return startWrite(state, wanted, inForce.version);
+  const witnesses = chooseNextSet(state, inForce, wanted);
+  const next = {...wanted, witnesses};
+  const isDue =
+    state.unsettledSets.length > 0 ||
+    !isConfirmed(inForce) ||
+    !isSameSession(inForce.session, next);
+  return isDue
+    ? startWrite(state, next, getExpectedVersion(inForce))
+    : {state, effect: NO_EFFECT};
+}
+
+/**
+ * Returns the witness set to write. An unsettled set is retried, so that a late write names no other set than the one
+ * in force then, and no third set becomes possible before the earlier ones are settled.
+ */
+function chooseNextSet(
+  {unsettledSets}: SessionWriterState,
+  inForce: VersionedSession,
+  wanted: Session,
+): readonly Member[] {
+  const latest = unsettledSets[unsettledSets.length - 1];
+  if (latest !== undefined) return latest;
+  return isConfirmed(inForce) ? wanted.witnesses : inForce.session.witnesses;
 }
 
 function startWrite(
@@ -171,13 +207,47 @@
   state: SessionWriterState,
   found: VersionedSession,
 ): WriterStep {
-  const knownVersion = state.inForce?.version ?? 0;
-  if (found.version <= knownVersion) return {state, effect: NO_EFFECT};
-  const isOwn = isSameMember(found.session.member, state.member);
-  if (isOwn && !found.session.isEnded)
-    return {state: adoptSession(state, found), effect: NO_EFFECT};
-  if (state.inForce === undefined && !isOwn) return {state, effect: NO_EFFECT};
-  return {state: createWriterState(state.member), effect: {kind: 'rejoin'}};
+  const {inForce, member} = state;
+  const isOwn = isSameMember(found.session.member, member);
+  if (inForce === undefined && !isOwn) return {state, effect: NO_EFFECT};
+  const isWrittenLater =
+    inForce === undefined || getOrigin(found) > getOrigin(inForce);
+  if (isWrittenLater && (!isOwn || found.session.isEnded))
+    return {state: createWriterState(member), effect: {kind: 'rejoin'}};
+  const isNewer = inForce === undefined || found.version > inForce.version;
+  if (!isNewer && !isWrittenLater) return {state, effect: NO_EFFECT};
+  const merged = mergeFound(inForce, found);
+  const next = isConfirmed(merged)
+    ? adoptSession(state, merged)
+    : {...state, inForce: merged, unsettledSets: keepSets(state, merged)};
+  return {state: next, effect: NO_EFFECT};
+}
+
+/** Merges what was found: the session that was written last, with the version at which the store has the object. */
+function mergeFound(
+  inForce: VersionedSession | undefined,
+  found: VersionedSession,
+): VersionedSession {
+  if (inForce === undefined) return found;
+  const last = getOrigin(found) > getOrigin(inForce) ? found : inForce;
+  const {version, isAbsent} = found.version > inForce.version ? found : inForce;
+  return {
+    session: last.session,
+    version,
+    origin: getOrigin(last),
+    ...(isAbsent === undefined ? {} : {isAbsent}),
+  };
+}
+
+/** Returns the unsettled sets together with the set that the merged session replaces; the one written last is last. */
+function keepSets(
+  {inForce, unsettledSets}: SessionWriterState,
+  merged: VersionedSession,
+): ReadonlyArray<readonly Member[]> {
+  if (inForce === undefined || inForce.session === merged.session)
+    return unsettledSets;
+  const sets = [inForce.session.witnesses, merged.session.witnesses];
+  return unsettledSets.reduce(addSet, sets);
 }
 
 function settleWrite(
@@ -189,14 +259,31 @@
   const idle = {...state, underWay: undefined};
   if (answer.kind === 'written') {
     const {session} = write;
-    return applyFound(idle, {session, version: answer.version});
+    const step = applyFound(idle, {session, version: answer.version});
+    // A write of an earlier era than the one in force may be lost again or may take effect a second time.
+    return step.effect.kind === 'none' ? keepSetOf(step.state, write) : step;
   }
   if (answer.kind === 'conflict') return {state: idle, effect: {kind: 'read'}};
-  const isCurrent = write.expectedVersion === (state.inForce?.version ?? 0);
-  if (answer.kind === 'no-effect' || !isCurrent)
-    return {state: idle, effect: NO_EFFECT};
+  if (answer.kind === 'no-effect') return {state: idle, effect: NO_EFFECT};
+  return keepSetOf(idle, write);
+}
+
+/** Keeps the witness set of a write that may take effect or may have taken effect already. */
+function keepSetOf(state: SessionWriterState, write: SessionWrite): WriterStep {
+  if (isSettled(state.inForce, write)) return {state, effect: NO_EFFECT};
   const unsettledSets = addSet(state.unsettledSets, write.session.witnesses);
-  return {state: {...idle, unsettledSets}, effect: NO_EFFECT};
+  return {state: {...state, unsettledSets}, effect: NO_EFFECT};
+}
+
+/** Returns whether a write has taken effect as the session in force or no longer can. */
+function isSettled(
+  inForce: VersionedSession | undefined,
+  {expectedVersion}: SessionWrite,
+): boolean {
+  if (inForce === undefined) return expectedVersion !== 0;
+  return (
+    isConfirmed(inForce) && expectedVersion !== getExpectedVersion(inForce)
+  );
 }
 
 /** Adopts a session. Writes that expect an earlier version can no longer take effect and are settled. */
@@ -204,7 +291,8 @@
   state: SessionWriterState,
   found: VersionedSession,
 ): SessionWriterState {
-  return {...state, inForce: found, unsettledSets: []};
+  const {session, version} = found;
+  return {...state, inForce: {session, version}, unsettledSets: []};
 }
 
 function addSet(
--- a/packages/membership/test/session_writer.test.ts
+++ b/packages/membership/test/session_writer.test.ts
@@ -3,15 +3,19 @@
  */
 import test from 'ava';
 
+import {createVersion} from '@dottereldrift/store/version.js';
+
 import {
   applyWriterEvent,
   createWriterState,
   getActiveSets,
+  isConfirmed,
   type WriterEvent,
   type SessionWriterState,
+  type WriteAnswer,
   type WriterStep,
 } from '../src/session_writer.js';
-import type {Session} from '../src/types.js';
+import type {Session, VersionedSession} from '../src/types.js';
 
 const SELF = {host: 'h0', incarnation: 'a'};
 const EARLIER = {host: 'h0', incarnation: 'before'};
@@ -160,3 +164,182 @@
   const late = answer({...started, state: seen.state}, 'unknown');
   t.deepEqual(getActiveSets(late.state), [NEXT_SET]);
 });
+
+/** Applies the session of this host as found in a store that was restored. */
+function applyRestored(
+  state: SessionWriterState,
+  found: Omit<VersionedSession, 'session'>,
+  changes: Partial<Session> = {},
+): WriterStep {
+  const session = createSession(changes);
+  return applyWriterEvent(state, {kind: 'seen', found: {session, ...found}});
+}
+
+function answerWritten(step: WriterStep, version: number): WriterStep {
+  if (step.effect.kind !== 'write') throw new Error('Nothing was written.');
+  const answer: WriteAnswer = {kind: 'written', version};
+  const {write} = step.effect;
+  return applyWriterEvent(step.state, {kind: 'answered', write, answer});
+}
+
+test('a session is written again in a new era, so that no other daemon is left without it', t => {
+  const restored = applyRestored(createStateInForce(), {
+    version: createVersion(1, 3),
+    origin: 3,
+  });
+  t.is(restored.effect.kind, 'none');
+  const again = check(restored.state, SET);
+  t.like(again.effect, {
+    kind: 'write',
+    write: {expectedVersion: createVersion(1, 3), session: {witnesses: SET}},
+  });
+  const written = answerWritten(again, createVersion(1, 4));
+  t.is(check(written.state, SET).effect.kind, 'none');
+});
+
+test('a session that the restored store lacks is written as a new object', t => {
+  const restored = applyRestored(createStateInForce(), {
+    version: createVersion(1, 3),
+    origin: 5,
+    isAbsent: true,
+  });
+  const again = check(restored.state, SET);
+  t.like(again.effect, {kind: 'write', write: {expectedVersion: 0}});
+  const written = answerWritten(again, createVersion(1, 4));
+  t.is(check(written.state, SET).effect.kind, 'none');
+});
+
+test('the older session of a restored store is not adopted', t => {
+  const restored = applyRestored(
+    createStateInForce(),
+    {version: createVersion(1, 3), origin: 3},
+    {witnesses: NEXT_SET},
+  );
+  t.deepEqual(restored.state.inForce?.session.witnesses, SET);
+  t.deepEqual(getActiveSets(restored.state), [SET]);
+});
+
+test('an unsettled set stays active over a new era until a write in that era has succeeded', t => {
+  const lost = answer(check(createStateInForce()), 'unknown');
+  const restored = applyRestored(lost.state, {
+    version: createVersion(1, 3),
+    origin: 3,
+  });
+  t.deepEqual(getActiveSets(restored.state), [SET, NEXT_SET]);
+  const again = check(restored.state, SET);
+  t.like(again.effect, {
+    kind: 'write',
+    write: {
+      expectedVersion: createVersion(1, 3),
+      session: {witnesses: NEXT_SET},
+    },
+  });
+  t.deepEqual(getActiveSets(again.state), [SET, NEXT_SET]);
+  const written = answerWritten(again, createVersion(1, 4));
+  t.deepEqual(getActiveSets(written.state), [NEXT_SET]);
+});
+
+test('a lost write that the restored store has keeps the set before active until the session is written again', t => {
+  const lost = answer(check(createStateInForce()), 'unknown');
+  const restored = applyRestored(
+    lost.state,
+    {version: createVersion(1, 6), origin: 6},
+    {witnesses: NEXT_SET},
+  );
+  t.deepEqual(restored.state.inForce?.session.witnesses, NEXT_SET);
+  t.deepEqual(getActiveSets(restored.state), [NEXT_SET, SET]);
+  const again = check(restored.state);
+  t.like(again.effect, {write: {session: {witnesses: NEXT_SET}}});
+  const written = answerWritten(again, createVersion(1, 7));
+  t.deepEqual(getActiveSets(written.state), [NEXT_SET]);
+});
+
+test('the set of a write stays active if its answer is lost after a new era was seen', t => {
+  const started = check(createStateInForce());
+  const found = {version: createVersion(1, 3), origin: 3};
+  const restored = applyRestored(started.state, found);
+  for (const kind of ['unknown', 'conflict', 'no-effect'] as const) {
+    const late = answer({...started, state: restored.state}, kind);
+    const expected = kind === 'unknown' ? [SET, NEXT_SET] : [SET];
+    t.deepEqual(getActiveSets(late.state), expected, kind);
+  }
+});
+
+test('a write of an earlier era that is acknowledged after a new era was seen does not drop the set before', t => {
+  const started = check(createStateInForce());
+  const found = {version: createVersion(1, 3), origin: 3};
+  const restored = applyRestored(started.state, found);
+  const late = answerWritten({...started, state: restored.state}, 6);
+  t.deepEqual(getActiveSets(late.state), [NEXT_SET, SET]);
+  const {inForce} = late.state;
+  t.is(inForce?.version, createVersion(1, 3));
+  t.false(inForce !== undefined && isConfirmed(inForce));
+});
+
+test('a second new era before the first answer leads to one more write, at the newest version', t => {
+  const first = applyRestored(createStateInForce(), {
+    version: createVersion(1, 3),
+    origin: 3,
+  });
+  const lost = answer(check(first.state, SET), 'unknown');
+  const second = applyRestored(lost.state, {
+    version: createVersion(2, 3),
+    origin: 3,
+  });
+  const again = check(second.state, SET);
+  t.like(again.effect, {
+    kind: 'write',
+    write: {expectedVersion: createVersion(2, 3)},
+  });
+  const written = answerWritten(again, createVersion(2, 4));
+  t.is(check(written.state, SET).effect.kind, 'none');
+});
+
+test('a late write of an earlier era that replaced the session is overwritten', t => {
+  const state = {
+    ...createStateInForce(),
+    inForce: {session: createSession(), version: createVersion(1, 5)},
+  };
+  const restored = applyRestored(
+    state,
+    {version: createVersion(1, 6), origin: 4},
+    {witnesses: NEXT_SET},
+  );
+  t.deepEqual(getActiveSets(restored.state), [SET]);
+  t.like(check(restored.state, SET).effect, {
+    kind: 'write',
+    write: {
+      expectedVersion: createVersion(1, 6),
+      session: {witnesses: SET},
+    },
+  });
+});
+
+test('an earlier incarnation in the restored store does not end the member, unlike one that was written later', t => {
+  const other = {member: EARLIER};
+  const version = createVersion(1, 3);
+  const earlier = applyRestored(
+    createStateInForce(),
+    {version, origin: 3},
+    other,
+  );
+  t.is(earlier.effect.kind, 'none');
+  t.deepEqual(earlier.state.inForce?.session.member, SELF);
+  const later = applyRestored(
+    createStateInForce(),
+    {version, origin: 9},
+    other,
+  );
+  t.is(later.effect.kind, 'rejoin');
+});
+
+test('an end that another daemon remembers ends the member also at a version that it knows', t => {
+  const version = createVersion(1, 3);
+  const restored = applyRestored(createStateInForce(), {version, origin: 3});
+  const ended = applyRestored(
+    restored.state,
+    {version, origin: 6},
+    {isEnded: true},
+  );
+  t.is(ended.effect.kind, 'rejoin');
+});
