Decide takeovers by the session written last, and end sessions in a restored store

Cause: a takeover read the object and asked the witnesses that it names; a restored store names earlier ones, which the member no longer renews by. A session's end that the store lost was never written again; a stopping daemon ended its session at a version that no longer exists.

Change: - Takeover: what was read is merged into the view; the session written last names the witnesses, its origin is in the request, and the update expects the version that was read (0 if the store lacks it). Also for `fence` of the operator. - Witness: refuses if it knows a newer session of the host than the one asked for; one log line. It then starts the takeover of that session itself, if its lease has lapsed, since the asker may not be able to learn of it. - Witness: writes an end again that the restored store lacks. The view keeps a known end, though the member writes its session in a store that lacks it (store_view.ts, isRevived). - Session manager: writes again only once a majority of each active set has renewed the lease since the new era was seen; joins again if that does not happen within 3 s. Writes are spread over 5 ms a member of the fleet. - stop(): reads once more after a conflict with a version of another era. - A new process in a store that may lack its predecessor waits 2 s from its start before it writes its session: grants of the predecessor, which it cannot name, have lapsed then.

Ruled out: a tight loop of conflicts; a version of the era before costs no call, and the manager reads once in 250 ms.

Without eras one thing differs: a witness that knows a newer session than the asker refuses, where it voted before for an update that then conflicted.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -199,7 +199,8 @@
       this.view,
       peers,
       getSelf,
-      (target, asked) => this.witnessService.voteOnFence(target, asked),
+      (target, asked, sessionOrigin) =>
+        this.witnessService.voteOnFence(target, asked, sessionOrigin),
       this.log.createChild('takeover'),
     );
     this.sessionManager = new SessionManager(
--- a/packages/daemon/src/peer_listener.ts
+++ b/packages/daemon/src/peer_listener.ts
@@ -75,7 +75,11 @@
     fence: request => {
       const target = parseMember(request.target);
       const witness = parseMember(request.witness);
-      return {granted: parts.witnessService.voteOnFence(target, witness)};
+      const sessionOrigin = Number(request.sessionOrigin);
+      const {witnessService} = parts;
+      return {
+        granted: witnessService.voteOnFence(target, witness, sessionOrigin),
+      };
     },
     releaseSlices: async request => {
       const refs = request.slices.map(ref => ({
--- a/packages/daemon/src/session_manager.ts
+++ b/packages/daemon/src/session_manager.ts
@@ -2,6 +2,9 @@
  * Maintains this daemon's session in the store and its lease with its witnesses. The state machine
  * in `session_writer.ts` decides what to write and how to interpret answers; this class performs
  * the effects.
+ *
+ * After the store was restored from a backup, the session is written again, once the witnesses have renewed the lease
+ * since then; until then the lease goes on by the witnesses as before. The writes of a fleet are spread over a short time that grows with the number of its members.
  */
 import * as E from 'fp-ts/lib/Either.js';
 
@@ -11,6 +14,7 @@
 import type {Incarnation, Instant, Member} from '@dottereldrift/core/types.js';
 import {FleetSettling} from '@dottereldrift/membership/fleet_settling.js';
 import {
+  DRIFT_MARGIN_MS,
   HEARTBEAT_INTERVAL_MS,
   LEASE_DURATION_MS,
   SMALL_WITNESS_SET_SIZE,
@@ -32,12 +36,12 @@
 import {
   encodeSession,
   getSessionKey,
-  parseSession,
 } from '@dottereldrift/membership/session_record.js';
 import {
   applyWriterEvent,
   createWriterState,
   getActiveSets,
+  isConfirmed,
   type SessionWrite,
   type WriteAnswer,
   type WriterEffect,
@@ -54,12 +58,24 @@
   chooseWitnesses,
   isSameSet,
 } from '@dottereldrift/membership/witness_choice.js';
-import type {ObjectStore, StoreFailure} from '@dottereldrift/store/types.js';
+import type {
+  ObjectStore,
+  ObjectVersion,
+  StoreFailure,
+} from '@dottereldrift/store/types.js';
+import {
+  formatVersion,
+  getEra,
+  getExpectedVersion,
+  getOrigin,
+} from '@dottereldrift/store/version.js';
 
 import type {DatagramChannel} from './datagram_channel.js';
 import type {StoreView} from './store_view.js';
 
 const CHECK_INTERVAL_MS = 250;
+/** Time for which a heartbeat renews the lease at its holder. */
+const LEASE_USABLE_MS = LEASE_DURATION_MS - DRIFT_MARGIN_MS;
 const WRITE_RETRY_DELAY_MS = 300;
 const WITNESS_SET_SETTLE_MS = 1_000;
 const WITNESS_SET_POLL_MS = 5;
@@ -74,6 +90,10 @@
 const MAX_TRACKED_SEQUENCES = 64;
 /** Minimum time between two rounds of heartbeats triggered by a clock mismatch, in milliseconds. */
 const CLOCK_MISMATCH_INTERVAL_MS = 100;
+/** Time per member over which a fleet spreads the writes of its sessions after the store was restored. */
+const REWRITE_SPREAD_PER_MEMBER_MS = 5;
+/** Time after which a member joins again if its lease was not renewed after the store was restored. */
+const REWRITE_TIMEOUT_MS = LEASE_DURATION_MS + 1_000;
 
 /** Attributes of this host in the session, apart from its witnesses and servers. */
 export type SessionIdentity = Pick<
@@ -127,6 +147,10 @@
   private joinedVersion = Infinity;
   /** Whether this member has ever held its lease, so that its grants may be in force. */
   private hasHeldLease = false;
+  /** When `run` was called; undefined before that. */
+  private startedAt: Instant | undefined;
+  /** The write that is due because the store was restored: when that was seen, and the time from which it is made. */
+  private rewrite = {seenMs: -Infinity, dueMs: -Infinity, isLogged: false};
   private readonly rejoinListeners: Array<() => void> = [];
   private readonly renewalListeners: Array<() => void> = [];
 
@@ -227,6 +251,7 @@
 
   /** Writes the session and sends heartbeats until `stop` is called. */
   async run(): Promise<void> {
+    this.startedAt = this.system.getNow();
     this.startHeartbeats();
     while (!this.isStopped) {
       await this.writeIfNeeded();
@@ -246,9 +271,33 @@
     const {inForce} = this.writer;
     if (inForce === undefined) return;
     this.isEnding = true;
-    const ended = {...inForce.session, isEnded: true, servers: []};
+    const expectedVersion = getExpectedVersion(inForce);
+    const written = await this.writeEnd(inForce.session, expectedVersion);
+    if (E.isLeft(written) && isOfOtherEra(written.left, expectedVersion))
+      await this.writeEndAgain(inForce);
+  }
+
+  private writeEnd(session: Session, expectedVersion: ObjectVersion) {
+    const ended = {...session, isEnded: true, servers: []};
     const key = getSessionKey(this.identity.host);
-    await this.store.updateObject(key, inForce.version, encodeSession(ended))();
+    return this.store.updateObject(
+      key,
+      expectedVersion,
+      encodeSession(ended),
+    )();
+  }
+
+  /** Ends the session at the version that it has in a store that was restored, unless it is over there. */
+  private async writeEndAgain(inForce: VersionedSession): Promise<void> {
+    const key = getSessionKey(this.identity.host);
+    const read = await this.store.getObject(key)();
+    if (E.isLeft(read)) return;
+    if (read.right !== undefined) this.view.applyObject(read.right);
+    const known = this.view.getSession(this.identity.host) ?? inForce;
+    const isOver =
+      known.session.isEnded || !isSameMember(known.session.member, this.member);
+    if (!isOver)
+      await this.writeEnd(known.session, getExpectedVersion(read.right));
   }
 
   /**
@@ -363,6 +412,10 @@
     this.isWriting = true;
     try {
       const found = this.view.getSession(this.identity.host);
+      if (this.isAwaitingPreviousGrants(found)) return;
+      await this.applyEraStep(found);
+      this.joinIfNotRenewed();
+      if (this.isRewriteDeferred()) return;
       this.adoptPreviousSession(found);
       const wanted = this.createSession(this.chooseWitnesses());
       await this.applyEvent({kind: 'check', wanted, found});
@@ -403,6 +456,99 @@
     this.servers = found.session.servers;
   }
 
+  /**
+   * Returns whether the restored store may lack the session of the previous daemon process, whose grants may still be
+   * in force. They expire within the time of a lease, because this process has bound its address.
+   */
+  private isAwaitingPreviousGrants(
+    found: VersionedSession | undefined,
+  ): boolean {
+    if (this.writer.inForce !== undefined || !this.isFirstMember) return false;
+    const isUncertain =
+      found === undefined
+        ? this.view.getEra() > 0
+        : this.view.isUncertain(found);
+    if (!isUncertain) return false;
+    const startedMs = this.startedAt?.monotonicMs ?? Infinity;
+    const nowMs = this.system.getNow().monotonicMs;
+    return nowMs - startedMs < PREVIOUS_GRANTS_LAPSE_MS;
+  }
+
+  /** Takes on the version that the session has in a store that was restored. */
+  private async applyEraStep(
+    found: VersionedSession | undefined,
+  ): Promise<void> {
+    const {inForce} = this.writer;
+    const isOfLaterEra =
+      found !== undefined &&
+      inForce !== undefined &&
+      getEra(found.version) > getEra(inForce.version);
+    if (isOfLaterEra) await this.applyEvent({kind: 'seen', found});
+  }
+
+  /** Records that the session must be written again if the store does not have it at the version just learned. */
+  private recordRestored(before: VersionedSession | undefined): void {
+    const {inForce} = this.writer;
+    const isRestored =
+      inForce !== undefined &&
+      !isConfirmed(inForce) &&
+      inForce.version !== before?.version;
+    if (!isRestored) return;
+    const nowMs = this.system.getNow().monotonicMs;
+    const members = this.view.getLiveSessions().length;
+    const spreadMs = REWRITE_SPREAD_PER_MEMBER_MS * members;
+    const dueMs = nowMs + this.system.getRandom() * spreadMs;
+    this.rewrite = {seenMs: nowMs, dueMs, isLogged: false};
+    if (!this.isStopped) this.sendHeartbeats();
+  }
+
+  /** Returns whether the session is to be written again because the store was restored, but not yet. */
+  private isRewriteDeferred(): boolean {
+    const {inForce} = this.writer;
+    if (inForce === undefined || isConfirmed(inForce)) return false;
+    const isDue = this.system.getNow().monotonicMs >= this.rewrite.dueMs;
+    return !isDue || !this.isRenewedSinceRestored();
+  }
+
+  /**
+   * Returns whether a majority of every witness set has renewed the lease since the store was restored. The restored
+   * store may lack the end of this member, whose witnesses have fenced it then. Before they have renewed its lease,
+   * none of the sets may be replaced.
+   */
+  private isRenewedSinceRestored(): boolean {
+    return this.getEnd().monotonicMs - LEASE_USABLE_MS >= this.rewrite.seenMs;
+  }
+
+  /** Joins again if the witnesses do not renew the lease after the store was restored. */
+  private joinIfNotRenewed(): void {
+    const {inForce} = this.writer;
+    if (inForce === undefined || isConfirmed(inForce)) return;
+    const nowMs = this.system.getNow().monotonicMs;
+    const isLate = nowMs >= this.rewrite.seenMs + REWRITE_TIMEOUT_MS;
+    if (isLate && !this.isRenewedSinceRestored())
+      this.joinAsNewMember(
+        'its lease was not renewed after the store was restored',
+      );
+  }
+
+  /** Logs once per restoration that the session is written again. */
+  private recordRewrite({expectedVersion}: SessionWrite): void {
+    const {inForce} = this.writer;
+    if (inForce === undefined || isConfirmed(inForce)) return;
+    if (this.rewrite.isLogged) return;
+    this.rewrite = {...this.rewrite, isLogged: true};
+    this.log.writeWarning(
+      'The store was restored; the session is written again.',
+      {
+        member: formatMember(this.member),
+        era: getEra(inForce.version),
+        before: getEra(getOrigin(inForce)),
+        origin: formatVersion(getOrigin(inForce)),
+        expectedVersion: formatVersion(expectedVersion),
+      },
+    );
+  }
+
   private recordReplaced(incarnations: readonly Incarnation[]): void {
     const known = this.replaced?.incarnations ?? [];
     if (incarnations.every(incarnation => known.includes(incarnation))) return;
@@ -464,8 +610,10 @@
     const isFirst = this.writer.inForce === undefined;
     const setsBefore = this.lease.witnessSets.length;
     const step = applyWriterEvent(this.writer, event);
+    const {inForce: before} = this.writer;
     this.writer = step.state;
     this.applyWitnessSets(setsBefore);
+    this.recordRestored(before);
     const {inForce} = step.state;
     if (isFirst && inForce !== undefined) {
       this.joinedVersion = Math.min(this.joinedVersion, inForce.version);
@@ -509,6 +657,7 @@
           await this.waitForNewWitnessSet();
         // This daemon may have become a new member meanwhile.
         if (this.writer.underWay !== effect.write) return;
+        this.recordRewrite(effect.write);
         return this.writeSession(effect.write);
       case 'read':
         return this.readSession();
@@ -523,7 +672,7 @@
   private async endPreviousSession(previous: VersionedSession): Promise<void> {
     const isOver = await this.previousSessionEnder.tryEnd(
       previous.session,
-      previous.version,
+      getExpectedVersion(previous),
     );
     if (!isOver) await waitFor(this.system, WRITE_RETRY_DELAY_MS);
   }
@@ -578,9 +727,9 @@
     )();
     if (E.isLeft(read) || read.right === undefined) return;
     this.view.applyObject(read.right);
-    const {version, value} = read.right;
-    const found = {session: parseSession(value), version};
-    await this.applyEvent({kind: 'seen', found});
+    // After the store was restored, the view may know a session that was written later than the one read.
+    const found = this.view.getSession(this.identity.host);
+    if (found !== undefined) await this.applyEvent({kind: 'seen', found});
   }
 
   private joinAsNewMember(reason: string): void {
@@ -610,6 +759,18 @@
   return `${service}/${life ?? ''}/${voidToken}`;
 }
 
+/** Returns whether an update failed because the store has been restored since the expected version was read. */
+function isOfOtherEra(
+  {kind, foundVersion = 0}: StoreFailure,
+  expectedVersion: ObjectVersion,
+): boolean {
+  const isFound = foundVersion > 0;
+  return (
+    kind === 'conflict' &&
+    !(isFound && getEra(foundVersion) === getEra(expectedVersion))
+  );
+}
+
 function getWriteAnswer(written: E.Either<StoreFailure, number>): WriteAnswer {
   if (E.isRight(written)) return {kind: 'written', version: written.right};
   const {kind} = written.left;
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -430,7 +430,8 @@
     const known = this.getVersions(key);
     const isNewer = object.version > this.getKnownVersion(key);
     if (known === undefined) return isNewer ? object : undefined;
-    const isWrittenLater = getOrigin(object) > getOrigin(known);
+    const isRevived = this.isRevived(object);
+    const isWrittenLater = getOrigin(object) > getOrigin(known) && !isRevived;
     const isSameEra = getEra(object.version) === getEra(known.version);
     if (!isNewer) {
       // Of two values that the store had in one era, the later version has replaced the other.
@@ -440,9 +441,11 @@
       return {key, value: object.value, ...known, origin};
     }
     // A writer that does not know the era yet may have replaced a value of this era.
-    if (isSameEra && isOfCurrentEra(known) && known.isAbsent !== true)
+    const isReplacing =
+      isSameEra && isOfCurrentEra(known) && known.isAbsent !== true;
+    if (isReplacing && !isRevived)
       return {key, value: object.value, version: object.version};
-    const isSame = getOrigin(object) === getOrigin(known);
+    const isSame = getOrigin(object) === getOrigin(known) && !isRevived;
     const kept = isWrittenLater || isSame ? undefined : this.getObject(key);
     if (kept === undefined) return object;
     if (!Buffer.from(kept.value).equals(object.value))
@@ -457,6 +460,18 @@
     return {...object, value: kept.value, origin: getOrigin(known)};
   }
 
+  /**
+   * Returns whether a member whose end is known has written its session in a restored store that lacked the end. The
+   * member has been fenced, so its end still holds.
+   */
+  private isRevived({key, version, value}: StoredObject): boolean {
+    if (getEra(version) === 0 || !key.startsWith(SESSION_PREFIX)) return false;
+    const known = this.sessions.get(key.slice(SESSION_PREFIX.length))?.session;
+    if (known?.isEnded !== true) return false;
+    const {member, isEnded} = parseSession(value);
+    return !isEnded && isSameMember(member, known.member);
+  }
+
   private getVersions(key: string): VersionedValue | undefined {
     if (!key.startsWith(ASSIGNMENT_PREFIX))
       return selectVersions(this.objects.get(key));
--- a/packages/daemon/src/witness_service.ts
+++ b/packages/daemon/src/witness_service.ts
@@ -1,13 +1,21 @@
 /**
  * Witness role of this daemon: answers heartbeats, votes on fencing requests, and starts the
  * takeover of members whose leases have lapsed.
+ *
+ * A store that was restored from a backup may name earlier witnesses of a member than those that renew its lease. A vote
+ * therefore counts only for the newest session that the witness knows, and a witness that knows a newer one than the
+ * daemon that asks for its vote starts the takeover itself. An end that the store lacks is written again.
  */
 import type {Log} from '@dottereldrift/core/log.js';
 import {formatMember, isSameMember} from '@dottereldrift/core/member.js';
 import type {System} from '@dottereldrift/core/system.js';
 import type {Address, Instant, Member} from '@dottereldrift/core/types.js';
 import {TAKEOVER_STAGGER_MS} from '@dottereldrift/membership/constants.js';
-import type {Session} from '@dottereldrift/membership/types.js';
+import {isConfirmed} from '@dottereldrift/membership/session_writer.js';
+import type {
+  Session,
+  VersionedSession,
+} from '@dottereldrift/membership/types.js';
 import {
   applyEnd,
   applyFence,
@@ -17,6 +25,8 @@
   type ReplacedProcesses,
   type WitnessState,
 } from '@dottereldrift/membership/witness.js';
+import type {ObjectVersion} from '@dottereldrift/store/types.js';
+import {formatVersion, getOrigin} from '@dottereldrift/store/version.js';
 
 import type {DatagramChannel} from './datagram_channel.js';
 import type {StoreView} from './store_view.js';
@@ -44,6 +54,10 @@
    */
   private readonly firstSeen = new Map<string, Instant>();
   private readonly lastTriedMs = new Map<string, number>();
+  /** Origins of the newer sessions for which votes were refused, by host; each is logged once. */
+  private readonly loggedOrigins = new Map<string, ObjectVersion>();
+  /** Versions at which the store was found or made to have an end, by member. */
+  private readonly endedVersions = new Map<string, ObjectVersion>();
   /** The sessions that name this member, derived from the live ones. */
   private witnessed: {
     readonly live: readonly Session[];
@@ -80,9 +94,19 @@
 
   /**
    * Votes on fencing a member. Of requests addressed to another incarnation of this host, grants only those to a
-   * process that this one has replaced, after the time of a lease.
+   * process that this one has replaced, after the time of a lease. Refuses if it knows a newer session of the host
+   * than the one whose witnesses are asked; an origin of 0 means that the asker did not say which one that is.
    */
-  voteOnFence(target: Member, asked: Member): boolean {
+  voteOnFence(
+    target: Member,
+    asked: Member,
+    sessionOrigin: ObjectVersion = 0,
+  ): boolean {
+    const newer = this.findNewerSession(target, sessionOrigin);
+    if (newer !== undefined) {
+      this.recordNewerSession(target, sessionOrigin, newer);
+      return false;
+    }
     const self = this.getSelf();
     if (!isSameMember(asked, self)) {
       const now = this.system.getNow();
@@ -141,11 +165,58 @@
     );
   }
 
+  private findNewerSession(
+    {host}: Member,
+    sessionOrigin: ObjectVersion,
+  ): VersionedSession | undefined {
+    const known = this.view.getSession(host);
+    if (sessionOrigin === 0 || known === undefined) return undefined;
+    return getOrigin(known) > sessionOrigin ? known : undefined;
+  }
+
+  private recordNewerSession(
+    target: Member,
+    sessionOrigin: ObjectVersion,
+    newer: VersionedSession,
+  ): void {
+    const origin = getOrigin(newer);
+    if (this.loggedOrigins.get(target.host) !== origin)
+      this.log.writeWarning(
+        'A vote is refused, because a newer session is known.',
+        {
+          member: formatMember(target),
+          origin: formatVersion(sessionOrigin),
+          newerMember: formatMember(newer.session.member),
+          newerOrigin: formatVersion(origin),
+        },
+      );
+    this.loggedOrigins.set(target.host, origin);
+    const now = this.system.getNow();
+    // The asker cannot learn of that session if the store has lost it.
+    if (!newer.session.isEnded && this.isLost(newer.session, 0, now))
+      this.startTakeover(newer.session, now);
+  }
+
   private checkLeases(): void {
     const now = this.system.getNow();
     for (const {session, rank} of this.listWitnessed()) {
       if (this.isLost(session, rank, now)) this.startTakeover(session, now);
     }
+    if (this.view.getEra() > 0) this.writeLostEnds(now);
+  }
+
+  /** Writes the ends of members again that the restored store may lack. */
+  private writeLostEnds(now: Instant): void {
+    for (const {member} of this.state.values()) {
+      const known = this.view.getSession(member.host);
+      const isLostEnd =
+        known !== undefined &&
+        known.session.isEnded &&
+        isSameMember(known.session.member, member) &&
+        !isConfirmed(known) &&
+        this.endedVersions.get(formatMember(member)) !== known.version;
+      if (isLostEnd) this.startTakeover(known.session, now);
+    }
   }
 
   /**
@@ -190,9 +261,19 @@
     const lastTriedMs = this.lastTriedMs.get(name) ?? -Infinity;
     if (now.monotonicMs - lastTriedMs < RETRY_INTERVAL_MS) return;
     this.lastTriedMs.set(name, now.monotonicMs);
-    this.log.writeInfo('A lease has expired; starting the takeover.', {
-      member: name,
-    });
-    void this.takeover.tryEndMember(session.member);
+    this.log.writeInfo(
+      session.isEnded
+        ? 'The restored store may lack the end of a member.'
+        : 'A lease has expired; starting the takeover.',
+      {member: name},
+    );
+    void this.tryEnd(session.member);
+  }
+
+  private async tryEnd(member: Member): Promise<void> {
+    const isEnded = await this.takeover.tryEndMember(member);
+    const known = this.view.getSession(member.host);
+    if (isEnded && known !== undefined)
+      this.endedVersions.set(formatMember(member), known.version);
   }
 }
