Let the in-memory store return to a copy in a new era

The stand-ins had no store that comes back from an older copy, so nothing but the platform's adapter could be tried against one.

Change: MemoryStore hands out copies of its state and returns to one; the era rises, revisions are given out again, objects carry the version at which they were written, versions and watches of an earlier era match nothing. The HTTP interface carries the origin (header object-origin, field origin of listings); the stand-in server takes PUT /copy and PUT /restore. Versions of era 0 are plain revisions, as before.

Ruled out: a history within the store. Its user alone knows how old a copy may be.

Not the same as on the platform: an update whose expected version is of an earlier era conflicts here even if it was sent before the return and lands after it, where the platform compares the bare revision; and an object that is created so is of the era in which it lands.

--- a/packages/standins/src/store_server.ts
+++ b/packages/standins/src/store_server.ts
@@ -1,6 +1,6 @@
 /**
  * A stand-in for the platform's object store: serves the in-memory store over HTTP, counts calls, and
- * injects latency, outages, lost responses and delayed writes on demand.
+ * injects latency, outages, lost responses, delayed writes and returns to an earlier state on demand.
  */
 import fastify, {type FastifyInstance, type FastifyReply} from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
@@ -12,9 +12,13 @@
 } from '@dottereldrift/core/system.js';
 import {
   EXPECTED_VERSION_HEADER,
+  ORIGIN_HEADER,
   VERSION_HEADER,
 } from '@dottereldrift/store/http_store.js';
-import {MemoryStore} from '@dottereldrift/store/memory_store.js';
+import {
+  MemoryStore,
+  type StoreCopy,
+} from '@dottereldrift/store/memory_store.js';
 import type {StoreFailure} from '@dottereldrift/store/types.js';
 
 /** Injected faults, in effect until changed. */
@@ -51,11 +55,13 @@
   private readonly app: FastifyInstance;
   private readonly store: MemoryStore;
   private faults = NO_FAULTS;
+  private copy: StoreCopy;
   private readonly counts = {reads: 0, writes: 0, lists: 0, watches: 0};
   private readonly openWatches = new Set<FastifyReply>();
 
   constructor(private readonly system: System = createNodeSystem()) {
     this.store = new MemoryStore(system);
+    this.copy = this.store.createCopy();
     this.app = fastify({
       bodyLimit: BODY_LIMIT_BYTES,
       forceCloseConnections: true,
@@ -106,9 +112,8 @@
       const {prefix = ''} = request.query as {readonly prefix?: string};
       const listed = await this.store.listObjects(prefix)();
       if (E.isLeft(listed)) return sendFailure(reply, listed.left);
-      const objects = listed.right.objects.map(({key, version, value}) => ({
-        key,
-        version,
+      const objects = listed.right.objects.map(({value, ...object}) => ({
+        ...object,
         value: Buffer.from(value).toString('base64'),
       }));
       return reply.send({revision: listed.right.revision, objects});
@@ -119,8 +124,10 @@
       const read = await this.store.getObject(getKey(request.params))();
       if (E.isLeft(read)) return sendFailure(reply, read.left);
       if (read.right === undefined) return reply.code(404).send();
+      const {version, origin} = read.right;
+      if (origin !== undefined) void reply.header(ORIGIN_HEADER, origin);
       return reply
-        .header(VERSION_HEADER, String(read.right.version))
+        .header(VERSION_HEADER, String(version))
         .type('application/octet-stream')
         .send(Buffer.from(read.right.value));
     });
@@ -144,6 +151,14 @@
       this.setFaults(JSON.parse(String(request.body)) as Partial<StoreFaults>);
       return reply.send(this.faults);
     });
+    this.app.put('/copy', (_request, reply) => {
+      this.copy = this.store.createCopy();
+      return reply.send();
+    });
+    this.app.put('/restore', (_request, reply) => {
+      this.store.restore(this.copy);
+      return reply.send();
+    });
     this.app.get('/counts', () => this.counts);
   }
 
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -21,9 +21,12 @@
   StoredObject,
   WatchResult,
 } from './types.js';
+import {formatVersion} from './version.js';
 
 /** Header for the version of an object. */
 export const VERSION_HEADER = 'object-version';
+/** Header for the version at which the object was written; absent if it equals the version of the object. */
+export const ORIGIN_HEADER = 'object-origin';
 /** Header for the version that a conditional update expects. */
 export const EXPECTED_VERSION_HEADER = 'expected-version';
 
@@ -53,6 +56,7 @@
   readonly objects: ReadonlyArray<{
     readonly key: string;
     readonly version: number;
+    readonly origin?: number;
     readonly value: string;
   }>;
 }
@@ -93,6 +97,7 @@
       return E.right({
         key,
         version: parseVersion(reply.right),
+        ...parseOrigin(reply.right),
         value: reply.right.body,
       });
     };
@@ -111,8 +116,7 @@
       const body = parseJson<ListBody>(reply.right);
       if (E.isLeft(body)) return body;
       const objects = body.right.objects.map(object => ({
-        key: object.key,
-        version: object.version,
+        ...object,
         value: Buffer.from(object.value, 'base64'),
       }));
       return E.right({revision: body.right.revision, objects});
@@ -221,7 +225,10 @@
     const found = parseVersion(reply);
     return {
       kind: 'conflict',
-      text: formatMessage('DD2003', {expected, found}),
+      text: formatMessage('DD2003', {
+        expected: formatVersion(expected),
+        found: formatVersion(found),
+      }),
       foundVersion: found,
     };
   }
@@ -237,6 +244,11 @@
   return Number(reply.headers[VERSION_HEADER] ?? 0);
 }
 
+function parseOrigin(reply: Reply): {readonly origin?: ObjectVersion} {
+  const origin = reply.headers[ORIGIN_HEADER];
+  return origin === undefined ? {} : {origin: Number(origin)};
+}
+
 function parseJson<T>(reply: Reply): E.Either<StoreFailure, T> {
   try {
     return E.right(JSON.parse(Buffer.from(reply.body).toString('utf8')) as T);
--- a/packages/store/src/memory_store.ts
+++ b/packages/store/src/memory_store.ts
@@ -1,6 +1,10 @@
 /**
  * In-memory object store with versions, conditional updates and watches. A stand-in for the platform's store
  * serves it over HTTP.
+ *
+ * The store can return to a copy of an earlier state, as one that was restored from a backup does. The era rises by one,
+ * and revisions after that of the copy are given out again. Versions of an earlier era match no conditional update, and
+ * a watch that follows one is reset.
  */
 import * as E from 'fp-ts/lib/Either.js';
 import type {TaskEither} from 'fp-ts/lib/TaskEither.js';
@@ -17,12 +21,25 @@
   StoredObject,
   WatchResult,
 } from './types.js';
+import {
+  createVersion,
+  formatVersion,
+  getEra,
+  getOrigin,
+  getRevision,
+} from './version.js';
 
 /** Maximum size of an object's value. */
 export const MAX_VALUE_BYTES = 1_000_000;
 
 const MAX_KEPT_CHANGES = 10_000;
 
+/** A state of the store that it can return to. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: readonly StoredObject[];
+}
+
 interface Waiter {
   readonly prefix: string;
   readonly wake: () => void;
@@ -32,12 +49,35 @@
 export class MemoryStore implements ObjectStore {
   private readonly objects = new Map<string, StoredObject>();
   private readonly changes: ObjectChange[] = [];
-  private firstKeptRevision = 0;
-  private revision = 0;
+  /** Version after which all changes are kept. */
+  private firstKeptVersion = 0;
+  private version = 0;
   private readonly waiters = new Set<Waiter>();
 
   constructor(private readonly system: System) {}
 
+  /** Returns a copy of the present state. */
+  createCopy(): StoreCopy {
+    const objects = [...this.objects.values()];
+    return {revision: getRevision(this.version), objects};
+  }
+
+  /** Returns to the state of a copy, in the next era unless the caller specifies one, and ends all watches. */
+  restore(copy: StoreCopy, era = getEra(this.version) + 1): void {
+    this.version = createVersion(era, copy.revision);
+    this.firstKeptVersion = this.version;
+    this.changes.length = 0;
+    this.objects.clear();
+    for (const {key, value, ...versions} of copy.objects) {
+      const origin = getOrigin(versions);
+      const version = createVersion(era, getRevision(versions.version));
+      const isSameEra = version === origin;
+      const object = {key, version, value, ...(isSameEra ? {} : {origin})};
+      this.objects.set(key, object);
+    }
+    for (const waiter of [...this.waiters]) waiter.wake();
+  }
+
   getObject(key: string): TaskEither<StoreFailure, StoredObject | undefined> {
     return () => Promise.resolve(E.right(this.objects.get(key)));
   }
@@ -47,7 +87,7 @@
       const objects = [...this.objects.values()].filter(object =>
         object.key.startsWith(prefix),
       );
-      return Promise.resolve(E.right({revision: this.revision, objects}));
+      return Promise.resolve(E.right({revision: this.version, objects}));
     };
   }
 
@@ -111,13 +151,13 @@
   }
 
   private recordChange(key: string, isDeleted: boolean): ObjectVersion {
-    this.revision += 1;
-    this.changes.push({key, version: this.revision, isDeleted});
+    this.version += 1;
+    this.changes.push({key, version: this.version, isDeleted});
     if (this.changes.length > MAX_KEPT_CHANGES) {
       const dropped = this.changes.splice(0, MAX_KEPT_CHANGES / 2);
-      this.firstKeptRevision = dropped[dropped.length - 1]?.version ?? 0;
+      this.firstKeptVersion = dropped[dropped.length - 1]?.version ?? 0;
     }
-    return this.revision;
+    return this.version;
   }
 
   private wakeWaiters(key: string): void {
@@ -130,8 +170,7 @@
     prefix: string,
     afterRevision: ObjectVersion,
   ): boolean {
-    if (afterRevision < this.firstKeptRevision || afterRevision > this.revision)
-      return true;
+    if (this.isUnknown(afterRevision)) return true;
     for (let index = this.changes.length - 1; index >= 0; index--) {
       const change = this.changes[index];
       if (change === undefined || change.version <= afterRevision) return false;
@@ -140,6 +179,11 @@
     return false;
   }
 
+  /** Returns whether the changes after a version are not kept, or the version was not given out in this era. */
+  private isUnknown(afterVersion: ObjectVersion): boolean {
+    return afterVersion < this.firstKeptVersion || afterVersion > this.version;
+  }
+
   private waitForChange(prefix: string, waitMs: number): Promise<void> {
     return new Promise(resolve => {
       const finish = () => {
@@ -157,12 +201,8 @@
     prefix: string,
     afterRevision: ObjectVersion,
   ): WatchResult {
-    if (
-      afterRevision < this.firstKeptRevision ||
-      afterRevision > this.revision
-    ) {
-      return {revision: this.revision, changes: [], isReset: true};
-    }
+    if (this.isUnknown(afterRevision))
+      return {revision: this.version, changes: [], isReset: true};
     const latest = new Map<string, ObjectChange>();
     for (const change of this.changes) {
       if (change.version > afterRevision && change.key.startsWith(prefix)) {
@@ -170,7 +210,7 @@
       }
     }
     return {
-      revision: this.revision,
+      revision: this.version,
       changes: [...latest.values()],
       isReset: false,
     };
@@ -183,7 +223,10 @@
 ): StoreFailure {
   return {
     kind: 'conflict',
-    text: formatMessage('DD2003', {expected, found}),
+    text: formatMessage('DD2003', {
+      expected: formatVersion(expected),
+      found: formatVersion(found),
+    }),
     foundVersion: found,
   };
 }
