Soak kind store-restored: the store returns to an older copy

Draws an absence of up to 5 s and a copy of 0.1 to 10 s before; series of the kind give returns in a row. In runs with the kind an operator changes the configuration every 0.7 s and writes the last one again up to 1 s after a return. Two checks come with it, in all runs: no process goes back to an earlier configuration, and at the end every daemon has the operator's last one in effect.

--- a/packages/scenario/src/soak/fault_plan.ts
+++ b/packages/scenario/src/soak/fault_plan.ts
@@ -4,8 +4,8 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
-/** Every kind of fault, including planned operations such as rolling daemon stops. */
-export const FAULT_KINDS = [
+/** The kinds that are drawn unless others are named, including planned operations such as rolling daemon stops. */
+const ORDINARY_KINDS = [
   'daemon-killed',
   'daemon-stopped',
   'daemon-frozen',
@@ -36,6 +36,9 @@
   'store-refuses-hosts',
 ] as const;
 
+/** Every kind of fault. Those that are drawn only when named leave the plans of known seeds as they were. */
+export const FAULT_KINDS = [...ORDINARY_KINDS, 'store-restored'] as const;
+
 /** One of the fault kinds. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
 
@@ -48,6 +51,8 @@
   readonly durationMs: number;
   /** Step of the wall clock in milliseconds; drawn when the fault starts if absent. */
   readonly stepMs?: number;
+  /** Age of the copy that the store returns to, in milliseconds; drawn when the fault starts if absent. */
+  readonly copyAgeMs?: number;
 }
 
 /** Limits within which faults are drawn. */
@@ -55,7 +60,7 @@
   readonly hosts: number;
   readonly startMs: number;
   readonly endMs: number;
-  /** Fault kinds to draw from; all kinds if absent. */
+  /** Fault kinds to draw from; the ordinary ones if absent. */
   readonly kinds?: readonly FaultKind[] | undefined;
 }
 
@@ -82,7 +87,7 @@
 
 function drawSeries(
   random: () => number,
-  {hosts, startMs, endMs, kinds = FAULT_KINDS}: PlanBounds,
+  {hosts, startMs, endMs, kinds = ORDINARY_KINDS}: PlanBounds,
 ): readonly PlannedFault[] {
   const kind = drawKind(random, kinds);
   const isRepeated = random() < REPEAT_SHARE;
--- a/packages/scenario/src/soak/soak_run.ts
+++ b/packages/scenario/src/soak/soak_run.ts
@@ -2,7 +2,6 @@
  * Runs one seed of the soak test in virtual time and checks exclusive ownership throughout. The daemons are real;
  * the network, the store, the clocks and the backend servers are simulated, with injected faults.
  */
-import {ACCEPTED_MANIFEST_KEY} from '@dottereldrift/daemon/store_view.js';
 import {chooseCoordinator} from '@dottereldrift/ownership/coordinator_choice.js';
 import {RANGE_KEY_COUNT} from '@dottereldrift/ownership/key_range.js';
 import {MemoryStore} from '@dottereldrift/store/memory_store.js';
@@ -13,8 +12,9 @@
 import type {SharedStore} from '../virtual_store.js';
 import {drawFaults, type FaultKind, type PlannedFault} from './fault_plan.js';
 import {OwnershipChecker} from './ownership_checker.js';
+import {RestorableStore} from './restorable_store.js';
 import {UNKEYED_SERVICE, SOAK_SERVICE, SoakHost} from './soak_host.js';
-import {UNKEYED_RULES, SOAK_RULES, SoakTraffic} from './soak_traffic.js';
+import {SoakTraffic} from './soak_traffic.js';
 
 /** Parameters of a soak run. */
 export interface SoakOptions {
@@ -29,6 +29,8 @@
   readonly faults?: readonly PlannedFault[];
   /** Called with each daemon before it starts; tests use it to disable one rule at a time. */
   readonly onDaemon?: (daemon: VirtualDaemon) => void;
+  /** Whether a restored store starts a new era, which is the default; false disables this rule. */
+  readonly hasEras?: boolean;
 }
 
 /** Result of a soak run. */
@@ -90,6 +92,7 @@
   private readonly clock: VirtualClock;
   private readonly network: VirtualNetwork;
   private readonly store: SharedStore;
+  private readonly restorableStore: RestorableStore;
   private readonly hosts: readonly SoakHost[];
   private readonly ownershipChecker: OwnershipChecker;
   private readonly traffic: SoakTraffic;
@@ -103,6 +106,11 @@
     this.clock = new VirtualClock(options.seed);
     this.network = new VirtualNetwork(this.clock);
     this.store = this.createStore();
+    this.restorableStore = new RestorableStore(
+      this.clock,
+      this.store,
+      options.hasEras ?? true,
+    );
     this.ownershipChecker = new OwnershipChecker(
       () => this.hosts.map(host => host.server),
       () => this.clock.getElapsedMs(),
@@ -117,7 +125,10 @@
       onLog: (host: string, message: string, fields: object) => {
         this.addTraceLine(`${host}: ${message} ${JSON.stringify(fields)}`);
       },
-      onDaemon: (daemon: VirtualDaemon) => options.onDaemon?.(daemon),
+      onDaemon: (daemon: VirtualDaemon) => {
+        this.restorableStore.watchConfiguration(daemon);
+        options.onDaemon?.(daemon);
+      },
     };
     const {hosts: count = DEFAULT_HOSTS, unkeyedHosts = 0} = options;
     this.hosts = Array.from({length: count + unkeyedHosts}, (_, index) => {
@@ -137,10 +148,13 @@
 
   async run(): Promise<SoakResult> {
     const {clock, durationMs} = this;
-    await this.writeManifest();
+    await this.restorableStore.writeNextConfiguration();
     for (const host of this.hosts) host.start();
     this.traffic.start(durationMs + RECOVERY_MS);
-    for (const fault of this.listFaults()) {
+    const faults = this.listFaults();
+    if (faults.some(({kind}) => kind === 'store-restored'))
+      this.restorableStore.start(durationMs);
+    for (const fault of faults) {
       clock.startTimer(fault.atMs, () => {
         this.applyFault(fault);
       });
@@ -154,7 +168,13 @@
     }
     return {
       seed: this.options.seed,
-      violations: this.ownershipChecker.violations,
+      violations: [
+        ...this.ownershipChecker.violations,
+        ...this.restorableStore.violations,
+        ...this.restorableStore.listMissing(
+          this.hosts.map(host => host.daemon),
+        ),
+      ],
       unavailableMs: unavailability.longestMs,
       acquisitionCount: this.ownershipChecker.acquisitionCount,
       sent: this.traffic.sent,
@@ -193,17 +213,6 @@
     };
   }
 
-  private async writeManifest(): Promise<void> {
-    const services = {
-      [SOAK_SERVICE]: SOAK_RULES,
-      [UNKEYED_SERVICE]: UNKEYED_RULES,
-    };
-    const manifest = {services};
-    const accepted = {generation: 1, sourceVersion: 1, manifest};
-    const value = Buffer.from(JSON.stringify(accepted));
-    await this.store.memory.updateObject(ACCEPTED_MANIFEST_KEY, 0, value)();
-  }
-
   private applyFault(fault: PlannedFault): void {
     const {kind, durationMs} = fault;
     const host = this.hosts[fault.host % this.hosts.length];
@@ -221,7 +230,7 @@
 
   /** Starts a fault and returns the function that ends it. */
   private startFault(
-    {kind, durationMs, stepMs}: PlannedFault,
+    {kind, durationMs, stepMs, copyAgeMs}: PlannedFault,
     host: SoakHost,
   ): () => void {
     const noop = () => {};
@@ -262,6 +271,8 @@
       case 'host-replaced':
         this.endHost(host);
         return noop;
+      case 'store-restored':
+        return this.restoreStore(copyAgeMs);
       default:
         return this.startHeartbeatFault(kind, host);
     }
@@ -304,7 +315,7 @@
   }
 
   private startSharedFault(kind: FaultKind, host: SoakHost): () => void {
-    const {state, outageListeners} = this.store;
+    const {state} = this.store;
     const noop = () => {};
     switch (kind) {
       case 'host-cut-off':
@@ -339,8 +350,7 @@
         this.killDaemon(this.findCoordinator() ?? host);
         return noop;
       case 'store-out':
-        state.isOut = true;
-        for (const end of outageListeners) end();
+        this.startOutage();
         return () => {
           state.isOut = false;
         };
@@ -375,6 +385,26 @@
     }
   }
 
+  private startOutage(): void {
+    const {state, outageListeners} = this.store;
+    state.isOut = true;
+    for (const end of outageListeners) end();
+  }
+
+  /** Starts an outage; the store returns from it to a copy of the given age. */
+  private restoreStore(copyAgeMs?: number): () => void {
+    const found = this.restorableStore.findCopy(copyAgeMs);
+    this.startOutage();
+    return () => {
+      this.store.state.isOut = false;
+      if (found === undefined) return;
+      this.restorableStore.restore(found.copy);
+      this.addTraceLine(
+        `-- the store returns to its state at ${found.atMs / 1_000} s`,
+      );
+    };
+  }
+
   private startDelay(endpoint: string, maxDelayMs: number): () => void {
     this.network.setDelayMs(endpoint, maxDelayMs * this.clock.getRandom());
     return () => {
