--- a/packages/standins/test/http_store.test.ts
+++ b/packages/standins/test/http_store.test.ts
@@ -6,6 +6,7 @@
 import {createNodeSystem, type System} from '@dottereldrift/core/system.js';
 import {CallBudget} from '@dottereldrift/store/call_budget.js';
 import {HttpStore} from '@dottereldrift/store/http_store.js';
+import {createVersion} from '@dottereldrift/store/version.js';
 import test from 'ava';
 import * as E from 'fp-ts/lib/Either.js';
 
@@ -119,6 +120,47 @@
   });
 });
 
+test('a restored store reports versions of a new era and where objects were written', async t => {
+  await runWithStore(async ({server, store}) => {
+    await store.updateObject(KEY, 0, encodeText('a'))();
+    const copy = server.getStore().createCopy();
+    await store.updateObject(KEY, 1, encodeText('lost'))();
+    server.getStore().restore(copy);
+    const watched = await store.watchObjects('', 2, 5_000)();
+    t.like(watched, {right: {isReset: true}});
+    const version = createVersion(1, 1);
+    const object = {key: KEY, version, origin: 1};
+    t.like(await store.getObject(KEY)(), {right: object});
+    const listed = await store.listObjects('')();
+    t.like(listed, {right: {revision: version, objects: [object]}});
+    const late = await store.updateObject(KEY, 1, encodeText('late'))();
+    t.like(late, {left: {kind: 'conflict', foundVersion: version}});
+    const written = createVersion(1, 2);
+    t.deepEqual(
+      await store.updateObject(KEY, version, encodeText('b'))(),
+      E.right(written),
+    );
+    const value = encodeText('b');
+    const read = await store.getObject(KEY)();
+    t.deepEqual(read, E.right({key: KEY, version: written, value}));
+  });
+});
+
+test('the stand-in returns to a copy when it is told to over HTTP', async t => {
+  const server = new StoreServer();
+  const port = await server.listen(0);
+  const store = server.getStore();
+  const sendCommand = (name: string) =>
+    fetch(`http://127.0.0.1:${port}/${name}`, {method: 'PUT'});
+  await store.updateObject(KEY, 0, encodeText('a'))();
+  await sendCommand('copy');
+  await store.updateObject(KEY, 1, encodeText('lost'))();
+  await sendCommand('restore');
+  const version = createVersion(1, 1);
+  t.like(await store.getObject(KEY)(), {right: {version, origin: 1}});
+  await server.close();
+});
+
 test('a response that is not JSON is reported as unavailable instead of thrown', async t => {
   const server = createServer(socket => {
     socket.on('error', () => {});
