--- a/packages/store/src/memory_store.ts
+++ b/packages/store/src/memory_store.ts
@@ -62,6 +62,11 @@
     return {revision: getRevision(this.version), objects};
   }
 
+  /** Returns the version up to which the store has been written. */
+  getVersion(): ObjectVersion {
+    return this.version;
+  }
+
   /** Returns to the state of a copy, in the next era unless the caller specifies one, and ends all watches. */
   restore(copy: StoreCopy, era = getEra(this.version) + 1): void {
     this.version = createVersion(era, copy.revision);
@@ -91,12 +96,15 @@
     };
   }
 
+  /** Updates an object; its origin is in the present era unless the caller specifies that of an earlier one. */
   updateObject(
     key: string,
     expectedVersion: ObjectVersion,
     value: Uint8Array,
+    originEra?: number,
   ): TaskEither<StoreFailure, ObjectVersion> {
-    return () => Promise.resolve(this.tryUpdate(key, expectedVersion, value));
+    return () =>
+      Promise.resolve(this.tryUpdate(key, expectedVersion, value, originEra));
   }
 
   deleteObject(
@@ -122,6 +130,7 @@
     key: string,
     expectedVersion: ObjectVersion,
     value: Uint8Array,
+    originEra = getEra(this.version),
   ): E.Either<StoreFailure, ObjectVersion> {
     if (value.byteLength > MAX_VALUE_BYTES) {
       const reason = `the value has ${value.byteLength} bytes, at most ${MAX_VALUE_BYTES} are allowed`;
@@ -131,7 +140,13 @@
     if (found !== expectedVersion)
       return E.left(createConflict(expectedVersion, found));
     const version = this.recordChange(key, false);
-    this.objects.set(key, {key, version, value});
+    const origin = createVersion(originEra, getRevision(version));
+    this.objects.set(key, {
+      key,
+      version,
+      value,
+      ...(origin === version ? {} : {origin}),
+    });
     this.wakeWaiters(key);
     return E.right(version);
   }
