--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -177,3 +177,83 @@
   t.deepEqual(violations, []);
   t.true(acquisitionCount > 0);
 });
+
+/** Kinds that are drawn beside returns of the store, and how many seeds of each run in CI. */
+const RESTORED_SERIES: ReadonlyArray<{
+  readonly seeds: readonly number[];
+  readonly kinds: readonly FaultKind[];
+}> = [
+  {seeds: [1, 2, 3], kinds: []},
+  {seeds: [1_000, 1_001], kinds: ['host-loses-power', 'hot-keys-change']},
+  {seeds: [1_100], kinds: ['daemons-rolled']},
+  {seeds: [1_200], kinds: ['store-late', 'hot-keys-change', 'daemon-killed']},
+  {seeds: [1_300], kinds: ['daemon-frozen', 'server-leaves']},
+  {seeds: [1_400], kinds: ['all-lose-power']},
+  {
+    seeds: [1_500],
+    kinds: ['store-refuses-hosts', 'store-cut', 'daemon-killed'],
+  },
+];
+
+for (const {seeds, kinds} of RESTORED_SERIES) {
+  const beside = kinds.length === 0 ? 'alone' : `beside ${kinds.join(', ')}`;
+  test(`no two servers hold a key, and each key has one, after the store returned to older copies: ${beside}`, async t => {
+    for (const seed of seeds) {
+      const {violations, unavailableMs} = await runSoak({
+        seed,
+        kinds: ['store-restored', ...kinds],
+      });
+      t.deepEqual(violations, [], `seed ${seed}`);
+      t.true(
+        unavailableMs < MAX_UNAVAILABLE_MS,
+        `${seed}: ${unavailableMs} ms`,
+      );
+    }
+  });
+}
+
+test('keys keep their servers after the store returned to an older copy, once, twice in a row and again later', async t => {
+  for (const copyAgeMs of [500, 3_000, 9_000]) {
+    const faults: readonly PlannedFault[] = [
+      {
+        atMs: 9_000,
+        kind: 'store-restored',
+        host: 0,
+        durationMs: 1_000,
+        copyAgeMs,
+      },
+      {
+        atMs: 10_300,
+        kind: 'store-restored',
+        host: 0,
+        durationMs: 200,
+        copyAgeMs,
+      },
+      {
+        atMs: 15_000,
+        kind: 'store-restored',
+        host: 0,
+        durationMs: 20,
+        copyAgeMs,
+      },
+    ];
+    // The time without a server counts from the end of a run.
+    for (const durationMs of [10_000, 10_500, 15_020]) {
+      const {violations, unavailableMs} = await runSoak({
+        seed: 1,
+        durationMs,
+        faults: faults.filter(({atMs}) => atMs < durationMs),
+      });
+      const text = `a copy of ${copyAgeMs} ms before, faults end at ${durationMs} ms`;
+      t.deepEqual(violations, [], text);
+      t.is(unavailableMs, 0, text);
+    }
+  }
+});
+
+test('the soak reports violations when a rule is disabled: a restored store starts a new era', async t => {
+  const kinds: readonly FaultKind[] = ['store-restored'];
+  const seeds = [1, 2];
+  t.true((await countViolations(seeds, {kinds, hasEras: false})) > 0);
+  t.is(await countViolations(seeds, {kinds}), 0);
+});
