Follow who holds which keys when the store returns from an older copy

Fake servers now hold keys as PROTOCOL.md says: they take them from the responses to their heartbeats, obey hold_ms, release what is left out, refuse rows below a token that they have seen and record who held 128 keys, under which token and when it began requests. Five daemons, 100 requests a second, each bound a rule: no key with two servers on which both begin requests or for over 0.5 s, no token that isn't above those of other servers, a server again within 5 s, and keys for a server that runs within 8 s.

--- a/packages/platform/test/platform_fleet.ts
+++ b/packages/platform/test/platform_fleet.ts
@@ -25,6 +25,9 @@
 const STORE_PAGE_SIZE = 500;
 const FIRST_VERSION = 7;
 const STORE_IP = '127.0.0.29';
+const FIRST_HOST_PART = 30;
+/** Hosts that a test may add. */
+const SPARE_HOSTS = 2;
 /** Host of the routes that the versions of the configuration add. */
 const ADDED_HOST = 'added.example';
 const ADDED_DEADLINE_MS = 1_000;
@@ -53,12 +56,28 @@
   /** Time for which the server works on it. */
   readonly workMs: number;
   readonly deadlineMs: number;
+  /** Key of a service that is divided by key. */
+  readonly key?: number;
   /** Connections to use; a new connection if omitted. */
   readonly agent?: http.Agent;
 }
 
+/** What the fleet needs of a backend server. */
+export interface BackendServer {
+  /** Listens and returns its address. */
+  start(ip: string): Promise<string>;
+  sendHeartbeats(address: string, control: string): void;
+  stop(): void;
+}
+
+/** What a test chooses about the fleet. */
+export interface FleetOptions extends FakeStoreOptions {
+  /** Creates the servers of services that are divided by key; services are not divided if omitted. */
+  readonly createKeyedServer?: (service: string) => BackendServer;
+}
+
 /** A backend server that runs each request for the time that its path names. */
-class FakeBackendServer {
+class FakeBackendServer implements BackendServer {
   private readonly server: http.Server;
   private readonly id: string;
   private readonly bornAtMs = Date.now();
@@ -151,7 +170,7 @@
   readonly index: number;
   readonly service: string;
   readonly settings: typeof SETTINGS;
-  readonly server: FakeBackendServer;
+  readonly server: BackendServer;
   readonly logPath: string;
   daemon: ChildProcess;
 }
@@ -168,8 +187,10 @@
   private readonly stopping = new Set<number>();
   private requestCount = 0;
   private services: readonly string[] = [];
+  private port = 0;
+  private graceS = 0;
 
-  constructor(options: FakeStoreOptions = {}) {
+  constructor(private readonly options: FleetOptions = {}) {
     this.store = new FakeStore({pageSize: STORE_PAGE_SIZE, ...options});
   }
 
@@ -177,43 +198,53 @@
   async start(services: readonly string[], graceS: number): Promise<void> {
     this.services = services;
     this.store.isWaitingForChanges = true;
-    const ips = services.map((_, index) => `127.0.0.${30 + index}`);
-    const port = await findPorts([STORE_IP, ...ips]);
+    this.graceS = graceS;
+    const places = services.length + SPARE_HOSTS;
+    const ips = Array.from({length: places}, (_, index) => formatIp(index));
+    this.port = await findPorts([STORE_IP, ...ips]);
     // Outside of the range of ports for outgoing connections, so that it is still free when the store returns.
-    const store = await this.store.start({ip: STORE_IP, port});
+    await this.store.start({ip: STORE_IP, port: this.port});
     this.writeConfiguration(FIRST_VERSION, []);
-    for (const [index, service] of services.entries()) {
-      const ip = ips[index] ?? '';
-      const server = new FakeBackendServer(service, this.runs);
-      const serverAddress = await server.start(ip);
-      const settings = {
-        ...SETTINGS,
-        node: `sidecar-z1-${index}`,
-        ip,
-        listen: {
-          inbound: `${ip}:${port}`,
-          outbound: `${ip}:${port + 1}`,
-          ready: `${ip}:${port + 2}`,
-          control: `${ip}:${port + 3}`,
-        },
-        port_range: [port + 4, port + PORTS_PER_HOST - 1],
-        bounds: {...SETTINGS.bounds, grace_s: graceS},
-        app_addr: serverAddress,
-        service,
-        platform: {address: `${store.ip}:${store.port}`},
-      };
-      const logPath = path.join(this.directory, `${settings.node}.log`);
-      const daemon = this.startDaemon(settings, logPath);
-      const host = {index, service, settings, server, logPath, daemon};
-      this.hosts.push(host);
-      server.sendHeartbeats(serverAddress, settings.listen.control);
-    }
+    for (const service of services) await this.addHost(service);
     await this.waitUntilReady();
   }
 
+  /** Starts one more host; returns its index. */
+  async addHost(service: string): Promise<number> {
+    const {port} = this;
+    const {length: index} = this.hosts;
+    const ip = formatIp(index);
+    const server =
+      this.options.createKeyedServer?.(service) ??
+      new FakeBackendServer(service, this.runs);
+    const serverAddress = await server.start(ip);
+    const settings = {
+      ...SETTINGS,
+      node: `sidecar-z1-${index}`,
+      ip,
+      listen: {
+        inbound: `${ip}:${port}`,
+        outbound: `${ip}:${port + 1}`,
+        ready: `${ip}:${port + 2}`,
+        control: `${ip}:${port + 3}`,
+      },
+      port_range: [port + 4, port + PORTS_PER_HOST - 1],
+      bounds: {...SETTINGS.bounds, grace_s: this.graceS},
+      app_addr: serverAddress,
+      service,
+      platform: {address: `${STORE_IP}:${port}`},
+    };
+    const logPath = path.join(this.directory, `${settings.node}.log`);
+    const daemon = this.startDaemon(settings, logPath);
+    this.hosts.push({index, service, settings, server, logPath, daemon});
+    server.sendHeartbeats(serverAddress, settings.listen.control);
+    return index;
+  }
+
   /** Writes a version of the configuration, with a route for each of the names; the store has then acknowledged it. */
   writeConfiguration(version: number, added: readonly string[]): void {
-    const body = createConfiguration(this.services, version, added);
+    const isSharded = this.options.createKeyedServer !== undefined;
+    const body = createConfiguration(this.services, version, added, isSharded);
     this.store.put('config', 'main', body);
   }
 
@@ -268,7 +299,7 @@
 
   /** Sends a request to the daemon of a host and records what its caller is told. */
   send(hostIndex: number, options: RequestOptions): Promise<Answer> {
-    const {service, workMs, deadlineMs, agent} = options;
+    const {service, workMs, deadlineMs, agent, key} = options;
     this.requestCount += 1;
     const requestId = `r${this.requestCount}`;
     const sentAtMs = performance.now();
@@ -290,6 +321,7 @@
             'request-id': requestId,
             'deadline-ms': deadlineMs,
             'content-length': 3,
+            ...(key === undefined ? {} : {'shard-key': key}),
           },
         },
         response => {
@@ -392,6 +424,7 @@
   /** Tells whether a daemon is ready and serves the service of its own host. */
   private async isServed(hostIndex: number, service: string): Promise<boolean> {
     if (!(await this.isReady(hostIndex))) return false;
+    if (this.options.createKeyedServer !== undefined) return true;
     const options = {service, workMs: 1, deadlineMs: 1_000};
     return (await this.send(hostIndex, options)).status === 200;
   }
@@ -402,6 +435,7 @@
   services: readonly string[],
   version: number,
   added: readonly string[],
+  isSharded: boolean,
 ): object {
   const names = [...new Set(services)];
   const limits = CONFIGURATION.resources.filter(
@@ -418,7 +452,11 @@
   const entries = names.map(name => ({
     res_type: 'services',
     metadata: {name},
-    spec: {health_path: '/health', max_conns: 200},
+    spec: {
+      health_path: '/health',
+      max_conns: 200,
+      ...(isSharded ? {sharded: true} : {}),
+    },
   }));
   return {
     version: version.toString(16).padStart(8, '0'),
@@ -449,6 +487,10 @@
   };
 }
 
+function formatIp(hostIndex: number): string {
+  return `127.0.0.${FIRST_HOST_PART + hostIndex}`;
+}
+
 /** Finds the first of a row of ports that are free on all addresses. */
 async function findPorts(ips: readonly string[]): Promise<number> {
   for (;;) {
--- a/packages/platform/test/restored_store.process.test.ts
+++ b/packages/platform/test/restored_store.process.test.ts
@@ -1,18 +1,16 @@
 /**
  * The store goes away and returns, as it was or from an older copy, while the operator changes the configuration
- * of five real daemons. Another writer raises the revision of the store all the time, as otherwise what is written
- * again makes up for the few revisions that are lost. It picks up again some seconds after a return, so that lost
- * revisions stay lost for as long.
+ * of five real daemons. Unless a case says otherwise, the other writer of the store stays away after a return, so
+ * that lost revisions stay lost.
  */
 import test, {type ExecutionContext} from 'ava';
 
 import {ConfigurationWatch} from './configuration_watch.js';
 import {PlatformFleet} from './platform_fleet.js';
+import {StoreDrill, waitFor} from './store_drill.js';
 
 const SERVICES = ['pay', 'pay', 'stock', 'rutas', 'menu'];
 const GRACE_S = 6;
-const WRITE_INTERVAL_MS = 25;
-const WRITTEN_OBJECTS = 20;
 const SETTLE_MS = 1_500;
 const AWAY_MS = 1_000;
 const COPY_AGE_MS = 3_000;
@@ -28,56 +26,34 @@
  */
 const CALLS_TO_WRITE_AGAIN = 6;
 
-/** A fleet whose store can return from an older copy. */
+/** A fleet whose store can return from an older copy while the operator changes the configuration. */
 class Drill {
   readonly fleet = new PlatformFleet({hasEra: true});
   readonly watch = new ConfigurationWatch(this.fleet);
-  private timer: NodeJS.Timeout | undefined;
-  private written = 0;
+  private readonly store = new StoreDrill(this.fleet.store);
 
   async start(): Promise<void> {
-    this.startWriter();
+    this.store.startWriter();
     await this.fleet.start(SERVICES, GRACE_S);
     this.watch.start();
     await waitFor(SETTLE_MS);
   }
 
   async stop(): Promise<void> {
-    clearInterval(this.timer);
+    this.store.stop();
     await this.watch.stop();
     await this.fleet.stop();
   }
 
-  /** Writes objects of another system. */
   startWriter(): void {
-    clearInterval(this.timer);
-    this.timer = setInterval(() => {
-      this.written += 1;
-      const name = `n${this.written % WRITTEN_OBJECTS}`;
-      if (this.fleet.store.isServing())
-        this.fleet.store.put('notes', name, {written: this.written});
-    }, WRITE_INTERVAL_MS);
+    this.store.startWriter();
   }
 
-  /** Lets the store be away for a time and return; from an older copy if its age is given. */
   async restartStore(awayMs: number, copyAgeMs?: number): Promise<void> {
-    const {store} = this.fleet;
-    clearInterval(this.timer);
-    await store.stopServing();
-    const leftAtMs = performance.now();
-    await waitFor(awayMs);
-    if (copyAgeMs !== undefined) {
-      store.replaceByCopy(copyAgeMs);
-      this.watch.recordLoss(leftAtMs - copyAgeMs);
-    }
-    await store.startServing();
+    this.watch.recordLoss(await this.store.restartStore(awayMs, copyAgeMs));
   }
 }
 
-function waitFor(delayMs: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, delayMs));
-}
-
 async function startDrill(t: ExecutionContext): Promise<Drill> {
   const drill = new Drill();
   t.teardown(() => drill.stop());
