A reset during an upload no longer passes for the end of a response

Callers of a server that answered a long upload at once with a 200 without a length, sent part of the body and reset the connection got that part as a complete response.

Cause: the connector looks for a reset that libuv reports as an end of stream by an empty write. While bytes of the upload wait on the socket, Node queues that write behind them; it told nothing, and the end counted.

An end of stream is now passed on once the whole request is written and an empty write behind it has succeeded. If that fails, or takes more than 2 s, the response is cut.

Why this works: a write on a connection that was reset fails, so one that succeeds behind the whole request shows that no reset came before.

A server that answers early, closes and never reads the rest can't be told from a broken one; its response is cut.

--- a/packages/daemon/src/connector.ts
+++ b/packages/daemon/src/connector.ts
@@ -3,7 +3,8 @@
  * unsolicited data. A server that crashes while it sends a response without a length resets the connection,
  * and the truncated response must not pass for a complete one. Both layers below hide such a reset: undici
  * takes a reset after the response head for the end of the body, and libuv reports a reset that it reads
- * together with the last bytes as a normal end of stream.
+ * together with the last bytes as a normal end of stream. So an end of stream is passed on only after a write
+ * that succeeds behind the whole request: a write fails after a reset, but only once those before it are done.
  */
 import type {Socket} from 'node:net';
 
@@ -13,6 +14,12 @@
 /** Error code that undici does not take for the end of a response. */
 const BROKEN_PIPE_CODE = 'EPIPE';
 const EMPTY_BUFFER = Buffer.alloc(0);
+/**
+ * Time in milliseconds after the end of the server's stream for the rest of the request to be written. It frees
+ * the connection of a server that stopped reading long before the deadline of its request.
+ */
+export const REQUEST_REST_TIMEOUT_MS = 2_000;
+const POLL_MS = 20;
 
 /** Creates a connector with a connection timeout. */
 export function createConnector(timeoutMs: number): buildConnector.connector {
@@ -37,13 +44,53 @@
   });
   const push = socket.push.bind(socket);
   socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
-    if (chunk !== null || !isReset(socket)) return push(chunk, encoding);
-    const reason = new Error('the connection was reset');
-    socket.destroy(Object.assign(reason, {code: BROKEN_PIPE_CODE}));
+    if (chunk !== null || !socket.writable) return push(chunk, encoding);
+    if (hasUnwrittenBytes(socket)) {
+      waitForRequest(socket, () => push(null));
+      return false;
+    }
+    if (!isReset(socket)) return push(null);
+    destroySocket(socket, 'the connection was reset');
     return false;
   };
 }
 
+/** Calls back once the whole request has been written; the socket is destroyed if that fails or takes too long. */
+function waitForRequest(socket: Socket, callback: () => void): void {
+  const limitTimer = setTimeout(() => {
+    destroySocket(
+      socket,
+      'the server ended its stream and did not read the request',
+    );
+  }, REQUEST_REST_TIMEOUT_MS);
+  let pollTimer: NodeJS.Timeout | undefined;
+  socket.once('close', () => {
+    clearTimeout(limitTimer);
+    clearTimeout(pollTimer);
+  });
+  const check = () => {
+    socket.write(EMPTY_BUFFER, error => {
+      if (error || socket.destroyed) return;
+      if (hasUnwrittenBytes(socket)) {
+        pollTimer = setTimeout(check, POLL_MS);
+        return;
+      }
+      clearTimeout(limitTimer);
+      callback();
+    });
+  };
+  check();
+}
+
+/** Returns whether part of a request is still to be written. While undici streams one, it listens for `drain`. */
+function hasUnwrittenBytes(socket: Socket): boolean {
+  return socket.writableLength > 0 || socket.listenerCount('drain') > 0;
+}
+
+function destroySocket(socket: Socket, reason: string): void {
+  socket.destroy(Object.assign(new Error(reason), {code: BROKEN_PIPE_CODE}));
+}
+
 /**
  * Destroys a connection on which data arrives while no request is in progress. undici does the same,
  * except for empty lines, which it would read indefinitely.
@@ -71,9 +118,8 @@
   };
 }
 
-/** Returns whether a connection at end of stream was reset, in which case even an empty write fails. */
+/** Returns whether a connection with no pending write was reset, in which case even an empty write fails. */
 function isReset(socket: Socket): boolean {
-  if (!socket.writable) return false;
   socket.write(EMPTY_BUFFER);
   return socket.errored !== null;
 }
