Let an owner without a lease join again at once after the store was restored

An owner whose witnesses were lost between two returns joined again only 3.1 s after it had seen the last era, since each era started its wait anew, and was taken over 2 s later.

Change: it joins again once its lease has lapsed by its own clock and the time of a lease has passed since it saw the first of the eras in which its session is not yet written. A member without a lease runs nothing, so nothing is lost by it.

--- a/packages/daemon/src/session_manager.ts
+++ b/packages/daemon/src/session_manager.ts
@@ -92,8 +92,6 @@
 const CLOCK_MISMATCH_INTERVAL_MS = 100;
 /** Time per member over which a fleet spreads the writes of its sessions after the store was restored. */
 const REWRITE_SPREAD_PER_MEMBER_MS = 5;
-/** Time after which a member joins again if its lease was not renewed after the store was restored. */
-const REWRITE_TIMEOUT_MS = LEASE_DURATION_MS + 1_000;
 
 /** Attributes of this host in the session, apart from its witnesses and servers. */
 export type SessionIdentity = Pick<
@@ -150,7 +148,12 @@
   /** When `run` was called; undefined before that. */
   private startedAt: Instant | undefined;
   /** The write that is due because the store was restored: when that was seen, and the time from which it is made. */
-  private rewrite = {seenMs: -Infinity, dueMs: -Infinity, isLogged: false};
+  private rewrite = {
+    sinceMs: -Infinity,
+    seenMs: -Infinity,
+    dueMs: -Infinity,
+    isLogged: false,
+  };
   private readonly rejoinListeners: Array<() => void> = [];
   private readonly renewalListeners: Array<() => void> = [];
 
@@ -498,7 +501,9 @@
     const members = this.view.getLiveSessions().length;
     const spreadMs = REWRITE_SPREAD_PER_MEMBER_MS * members;
     const dueMs = nowMs + this.system.getRandom() * spreadMs;
-    this.rewrite = {seenMs: nowMs, dueMs, isLogged: false};
+    const isRepeated = before !== undefined && !isConfirmed(before);
+    const sinceMs = isRepeated ? this.rewrite.sinceMs : nowMs;
+    this.rewrite = {sinceMs, seenMs: nowMs, dueMs, isLogged: false};
     if (!this.isStopped) this.sendHeartbeats();
   }
 
@@ -524,7 +529,9 @@
     const {inForce} = this.writer;
     if (inForce === undefined || isConfirmed(inForce)) return;
     const nowMs = this.system.getNow().monotonicMs;
-    const isLate = nowMs >= this.rewrite.seenMs + REWRITE_TIMEOUT_MS;
+    const isLapsed = this.getEnd().monotonicMs <= nowMs;
+    const isLate =
+      isLapsed && nowMs >= this.rewrite.sinceMs + LEASE_DURATION_MS;
     if (isLate && !this.isRenewedSinceRestored())
       this.joinAsNewMember(
         'its lease was not renewed after the store was restored',
