Adopt no value of a writer behind the era, retry reads of the view when the store is back

- The view took the value of a write that was applied in an era that its writer did not know, so that a recovered assignment gave way to a late one ('a write of an earlier era that takes effect after the recovery is replaced').
It keeps its own value, which counts as not stored, so that the daemon responsible writes it again.
- The first list of a process, answered by a copy, was given up and repeated 200 ms later with a warning; it is read again at once.
An answer ends the delay.

Tests: 109 passed of the files of view, store, coordinator, session and takeover.

--- a/packages/daemon/src/configuration_follower.ts
+++ b/packages/daemon/src/configuration_follower.ts
@@ -90,6 +90,7 @@
   private announcedGeneration = 0;
   private isStopped = false;
   private cancelWatch: () => void = () => {};
+  private onStoreBack: () => void = () => {};
   private readonly consistency: ConsistencyChoice;
   /** Whether the last watch found that its history is gone. */
   private wasReset = false;
@@ -134,6 +135,11 @@
     this.cancelWatch();
   }
 
+  /** Sets the listener that is called when a call to the store succeeds after one that failed. */
+  setStoreBackListener(listener: () => void): void {
+    this.onStoreBack = listener;
+  }
+
   /** Handles the generation that another daemon has in effect; reads it unless it arrives soon. */
   receiveGeneration(generation: number, from: Address): void {
     if (generation <= this.announcedGeneration || !this.isOlderThan(generation))
@@ -216,6 +222,8 @@
         )();
     this.cancelWatch = () => {};
     if (controller.signal.aborted) return true;
+    const isBack = this.hasLastCallFailed && E.isRight(answer);
+    if (isBack) this.onStoreBack();
     this.hasLastCallFailed = E.isLeft(answer);
     if (E.isLeft(answer)) {
       this.log.writeDebug('Failed to read the configuration.', {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -293,6 +293,9 @@
     this.viewReplication.follower.setReaderListener(() => {
       this.configuration?.startReading();
     });
+    this.configuration?.setStoreBackListener(() => {
+      this.viewReplication.follower.retryNow();
+    });
     this.report = new BurnReport(system);
     this.requestLog = new FailureLog(
       system,
--- a/packages/daemon/src/store_view.ts
+++ b/packages/daemon/src/store_view.ts
@@ -373,7 +373,7 @@
     return {key, ...versions, value: encodeAssignment(assignment)};
   }
 
-  /** Returns whether the value of an object was written in the era in which it was read, and in that of a revision. */
+  /** Returns whether the store has the known value of an object, and had it written in the era of a revision. */
   isCurrent(key: string, revision: number): boolean {
     const known = this.getVersions(key);
     return (
@@ -432,19 +432,11 @@
     if (known === undefined) return isNewer ? object : undefined;
     const isRevived = this.isRevived(object);
     const isWrittenLater = getOrigin(object) > getOrigin(known) && !isRevived;
-    const isSameEra = getEra(object.version) === getEra(known.version);
     if (!isNewer) {
-      // Of two values that the store had in one era, the later version has replaced the other.
-      const isReplaced = isSameEra && isOfCurrentEra(object);
-      if (isReplaced || !isWrittenLater) return undefined;
+      if (!isWrittenLater) return undefined;
       const origin = getOrigin(object);
       return {key, value: object.value, ...known, origin};
     }
-    // A writer that does not know the era yet may have replaced a value of this era.
-    const isReplacing =
-      isSameEra && isOfCurrentEra(known) && known.isAbsent !== true;
-    if (isReplacing && !isRevived)
-      return {key, value: object.value, version: object.version};
     const isSame = getOrigin(object) === getOrigin(known) && !isRevived;
     const kept = isWrittenLater || isSame ? undefined : this.getObject(key);
     if (kept === undefined) return object;
--- a/packages/daemon/src/view_follower.ts
+++ b/packages/daemon/src/view_follower.ts
@@ -60,6 +60,7 @@
   private followedAddress: Address | undefined;
   private sourceSinceMs = -Infinity;
   private onReader: () => void = () => {};
+  private endWait: () => void = () => {};
 
   constructor(
     private readonly settings: FollowerSettings,
@@ -78,13 +79,18 @@
         ? await this.tryWatch()
         : await this.tryLoad();
       failures = isSuccessful ? 0 : failures + 1;
-      if (!isSuccessful)
-        await waitFor(this.system, this.getRetryDelayMs(failures));
+      if (!isSuccessful) await this.waitForRetry(failures);
     }
   }
 
   stop(): void {
     this.isStopped = true;
+    this.endWait();
+  }
+
+  /** Ends the delay before the next attempt, because the store responds to another call of this daemon again. */
+  retryNow(): void {
+    this.endWait();
   }
 
   getSource(): ViewSource {
@@ -312,6 +318,19 @@
     });
   }
 
+  private waitForRetry(failures: number): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.system.startTimer(
+        this.getRetryDelayMs(failures),
+        resolve,
+      );
+      this.endWait = () => {
+        cancel();
+        resolve();
+      };
+    });
+  }
+
   private getRetryDelayMs(failures: number): number {
     const limit = Math.min(
       MAX_RETRY_DELAY_MS,
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -355,16 +355,19 @@
     consistency: ReadConsistency = 'linearizable',
     signal?: AbortSignal,
   ): Promise<E.Either<StoreFailure, Reply>> {
-    const isCopyAllowed =
-      consistency === 'serializable' && this.era.isSettled();
-    const separator = path.includes('?') ? '&' : '?';
-    const target = isCopyAllowed
-      ? `${path}${separator}${SERIALIZABLE_PARAMETER}`
-      : path;
-    const reply = await this.call('GET', target, timeoutMs, undefined, signal);
-    const isDoubtful =
-      isCopyAllowed && E.isRight(reply) && !this.era.isSettled();
-    return isDoubtful ? E.left(createRestored()) : reply;
+    if (consistency === 'serializable' && this.era.isSettled()) {
+      const separator = path.includes('?') ? '&' : '?';
+      const copyPath = `${path}${separator}${SERIALIZABLE_PARAMETER}`;
+      const reply = await this.call(
+        'GET',
+        copyPath,
+        timeoutMs,
+        undefined,
+        signal,
+      );
+      if (this.era.isSettled() || signal?.aborted === true) return reply;
+    }
+    return this.call('GET', path, timeoutMs, undefined, signal);
   }
 
   private async call(
--- a/packages/store/src/version.ts
+++ b/packages/store/src/version.ts
@@ -62,9 +62,10 @@
 }
 
 /**
- * Returns whether a value was written in the era in which the object was read. Other values may be older than what
- * the store contained before it was restored.
+ * Returns whether a value was written at the version at which the store has the object, and thus in its present era.
+ * Other values may be older than what the store contained before it was restored, or may have been replaced by a
+ * writer that did not know the era yet.
  */
 export function isOfCurrentEra(known: VersionedValue): boolean {
-  return getEra(getOrigin(known)) === getEra(known.version);
+  return getOrigin(known) === known.version;
 }
