A cut response no longer looks complete to an HTTP/1.0 caller

A caller that speaks HTTP/1.0 gets responses without a length. When the server reset its connection midway, the daemon closed the caller's in an orderly way, which marks the end of the body: the part looked complete.

Cause: an incomplete response was ended by destroy(), which sends a FIN unless data is unread. The connection of an HTTP/1.0 caller is now reset.

The new test for HTTP/1.0 fails without the reset, that for HTTP/1.1 passes with and without.

A daemon that is killed still ends such a connection in an orderly way.

--- a/packages/daemon/src/answer_writer.ts
+++ b/packages/daemon/src/answer_writer.ts
@@ -74,7 +74,7 @@
 
   abort(): void {
     this.transfer?.cancel();
-    this.response.destroy();
+    abortResponse(this.response);
   }
 
   private startTransfer(): EgressTransfer | undefined {
@@ -104,6 +104,15 @@
   }
 }
 
+/**
+ * Closes the connection of a response that is not complete. To a caller that speaks HTTP/1.0, an orderly end of
+ * the connection is the end of the body.
+ */
+export function abortResponse(response: ServerResponse): void {
+  if (response.req.httpVersion === '1.0') response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 function listHeaderPairs(
   headers: Readonly<Record<string, string | string[]>>,
 ): Array<[string, string]> {
@@ -132,7 +141,7 @@
  */
 export function writeProblem(response: ServerResponse, problem: Problem): void {
   if (response.headersSent) {
-    response.destroy();
+    abortResponse(response);
     return;
   }
   const {status, outcome, message, retryAfterMs, generation} = problem;
@@ -173,7 +182,7 @@
   }: Problem,
 ): void {
   if (response.headersSent) {
-    response.destroy();
+    abortResponse(response);
     return;
   }
   response.writeHead(status, {
@@ -201,7 +210,7 @@
   problem: Problem,
 ): void {
   if (response.headersSent) {
-    response.destroy();
+    abortResponse(response);
     return;
   }
   const {status, headers} = protocol.createProblemHead(problem);
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -13,6 +13,7 @@
 import type {AttemptFailure} from '@dottereldrift/routing/types.js';
 
 import {
+  abortResponse,
   formatRawProblemResponse,
   type Problem,
   writeHeaderOnlyProblem,
@@ -212,7 +213,7 @@
   runRequest(request, response, pipeline).catch((error: unknown) => {
     pipeline.onInternalError(error);
     // The outcome is unknown; callers must treat a closed connection that way.
-    response.destroy();
+    abortResponse(response);
   });
 }
 
--- a/packages/daemon/test/answer_writer.test.ts
+++ b/packages/daemon/test/answer_writer.test.ts
@@ -1,8 +1,9 @@
 /**
- * Tests that paced responses reach their callers whole, over real connections.
+ * Tests over real connections that paced responses reach their callers whole, and that cut ones do not look so.
  */
+import {once} from 'node:events';
 import http from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {type AddressInfo, connect} from 'node:net';
 
 import test from 'ava';
 
@@ -14,6 +15,8 @@
 const LINK_BITS_PER_SECOND = 16_000_000;
 const CHUNK_BYTES = 30_000;
 const CHUNKS = 10;
+/** Time for the first part of a response to be read before it is cut. */
+const CUT_DELAY_MS = 50;
 
 /** Serves the same large response to every request through one pacer. */
 class PacedServer {
@@ -125,3 +128,38 @@
   server.close();
   server.closeAllConnections();
 });
+
+for (const version of ['1.0', '1.1']) {
+  test(`a response that is cut never looks complete to a caller that speaks HTTP/${version}`, async t => {
+    const server = http.createServer((_request, response) => {
+      const answer = new HttpAnswer(response);
+      answer.startAnswer(200, {});
+      answer.writeChunk(Buffer.from('half'));
+      setTimeout(() => {
+        answer.abort();
+      }, CUT_DELAY_MS);
+    });
+    t.teardown(() => server.close());
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    socket.write(`GET / HTTP/${version}\r\nhost: menu\r\n\r\n`);
+    let text = '';
+    let errorCode: string | undefined;
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      errorCode = error.code;
+    });
+    await once(socket, 'close').catch(() => {});
+    t.true(text.includes('half'));
+    const isMarked = /transfer-encoding: chunked/i.test(text);
+    t.is(
+      isMarked ? 'chunked' : errorCode,
+      version === '1.0' ? 'ECONNRESET' : 'chunked',
+    );
+    t.false(text.endsWith('0\r\n\r\n'));
+  });
+}
