Walk leases over a store that returns to earlier states of its own

The model of leases had a store whose versions only rise. Now it returns to any earlier state, in a new era; expected versions are matched by revision alone, as the platform's store does. An end that the store loses still counts.

Each new rule switched off alone finds two holders: sets-outlive-era, renewed-since-era, memory-wins, newer-session-refuses, old-era-conflicts, other-era-is-unknown.

Bounded: a set change together with a message and a restart was not walked, nor were two returns.

Assumed: a session that was written is known to the witnesses, or to those who take over, by the time of the return. If nobody has learnt of a set change by then, the walk finds two holders, with all rules on: the set before is in force again and its witnesses vote. The same goes for an end that is sent before the return and arrives after it, which the adapter cannot hold back: that is old-era-conflicts switched off.

--- a/packages/membership/test/lease_model.test.ts
+++ b/packages/membership/test/lease_model.test.ts
@@ -1,6 +1,8 @@
 /**
  * Explores all states of a small model of leases and checks that the exploration finds a violation if any one
  * of the safety rules is disabled.
+ *
+ * The larger models, each of which takes minutes, are explored only if the environment variable LEASE_MODEL is `full`.
  */
 import test from 'ava';
 
@@ -18,7 +20,7 @@
 const TICK_MS = 1_900;
 /** Three ticks exceed the lease duration at a witness; two are shorter than the duration at its holder. */
 const FINE_TICK_MS = 710;
-const MAX_STATES = 1_000_000;
+const MAX_STATES = 2_000_000;
 
 const BASE_BOUNDS: ModelBounds = {
   tickMs: TICK_MS,
@@ -30,6 +32,9 @@
   clockFaults: 0,
   isCombiningClockFaults: false,
   restarts: 0,
+  returns: 0,
+  mayLackSession: false,
+  informed: 'nobody',
   disabledRules: new Set(),
 };
 const SET_CHANGE_BOUNDS: ModelBounds = {
@@ -54,6 +59,32 @@
   tickMs: FINE_TICK_MS,
 };
 const DELAYED_CLOCK_BOUNDS: ModelBounds = {...FINE_CLOCK_BOUNDS, messages: 1};
+/** A store that returns once to any earlier state, and one write of the holder, so without writing again. */
+const RETURN_BOUNDS: ModelBounds = {
+  ...BASE_BOUNDS,
+  setChanges: 1,
+  writes: 1,
+  returns: 1,
+  mayLackSession: true,
+  informed: 'witnesses',
+};
+const REWRITE_BOUNDS: ModelBounds = {...RETURN_BOUNDS, writes: 2};
+const TAKER_BOUNDS: ModelBounds = {
+  ...RETURN_BOUNDS,
+  informed: 'takeover members',
+};
+const DELAYED_RETURN_BOUNDS: ModelBounds = {
+  ...RETURN_BOUNDS,
+  setChanges: 0,
+  messages: 1,
+  restarts: 1,
+  mayLackSession: false,
+};
+const FULL_MODELS = {
+  rewritten: REWRITE_BOUNDS,
+  rewrittenTakers: {...TAKER_BOUNDS, writes: 2},
+  returnedDelayed: DELAYED_RETURN_BOUNDS,
+};
 const MODELS = {
   changing: SET_CHANGE_BOUNDS,
   delayed: DELAY_BOUNDS,
@@ -61,6 +92,8 @@
   combinedClocks: COMBINED_CLOCK_BOUNDS,
   fineClocks: FINE_CLOCK_BOUNDS,
   delayedClocks: DELAYED_CLOCK_BOUNDS,
+  returned: RETURN_BOUNDS,
+  ...(process.env['LEASE_MODEL'] === 'full' ? FULL_MODELS : {}),
 };
 
 interface Exploration {
@@ -120,6 +153,11 @@
   });
 }
 
+test('no holder considers its lease valid after its session has ended: returned before anyone has learnt of a set change', t => {
+  const walk = visitAllStates({...RETURN_BOUNDS, informed: 'nobody'});
+  t.deepEqual(walk.counterexample ?? [], []);
+});
+
 const RULES: ReadonlyArray<readonly [SafetyRule, ModelBounds]> = [
   ['joint-majority', SET_CHANGE_BOUNDS],
   ['old-version-proves-nothing', SET_CHANGE_BOUNDS],
@@ -133,6 +171,12 @@
   ['wall-clock', CLOCK_BOUNDS],
   ['clocks-agree', COMBINED_CLOCK_BOUNDS],
   ['doubt-is-final', FINE_CLOCK_BOUNDS],
+  ['sets-outlive-era', RETURN_BOUNDS],
+  ['renewed-since-era', {...REWRITE_BOUNDS, mayLackSession: false}],
+  ['memory-wins', TAKER_BOUNDS],
+  ['newer-session-refuses', RETURN_BOUNDS],
+  ['old-era-conflicts', RETURN_BOUNDS],
+  ['other-era-is-unknown', RETURN_BOUNDS],
 ];
 
 for (const [rule, bounds] of RULES) {
--- a/packages/membership/test/lease_model.ts
+++ b/packages/membership/test/lease_model.ts
@@ -5,8 +5,18 @@
  * Instants are relative to the current time and capped, so that the number of states is finite without a time
  * limit. A pause of the holder is a sequence of steps in which it does nothing. The holder compares its clocks
  * after each tick and each clock fault, because faults that cancel out between two checks go undetected.
+ *
+ * The store may return to any earlier state of its own, in a new era. It matches expected versions by revision alone,
+ * as the platform's store does, so a write may take effect in a later era than the one in which it was sent.
  */
 import type {Instant, Member} from '@dottereldrift/core/types.js';
+import {
+  createVersion,
+  getEra,
+  getExpectedVersion,
+  getOrigin,
+  getRevision,
+} from '@dottereldrift/store/version.js';
 
 import {
   applyAnswer,
@@ -23,6 +33,7 @@
   applyWriterEvent,
   createWriterState,
   getActiveSets,
+  isConfirmed,
   type SessionWrite,
   type WriteAnswer,
   type WriterEvent,
@@ -50,7 +61,13 @@
   | 'wall-clock'
   | 'clocks-agree'
   | 'doubt-is-final'
-  | 'update-at-voted-version';
+  | 'update-at-voted-version'
+  | 'sets-outlive-era'
+  | 'renewed-since-era'
+  | 'memory-wins'
+  | 'newer-session-refuses'
+  | 'old-era-conflicts'
+  | 'other-era-is-unknown';
 
 /** Limits on the faults and actions of a model. */
 export interface ModelBounds {
@@ -65,6 +82,12 @@
   /** Whether the wall clock may be set back while the holder is suspended. */
   readonly isCombiningClockFaults: boolean;
   readonly restarts: number;
+  /** Number of times that the store returns to an earlier state. */
+  readonly returns: number;
+  /** Whether the store may also return to a state without the session. */
+  readonly mayLackSession: boolean;
+  /** Whose views have what the store had when it returns to an earlier state. */
+  readonly informed: 'witnesses' | 'takeover members' | 'nobody';
   readonly disabledRules: ReadonlySet<SafetyRule>;
 }
 
@@ -75,11 +98,17 @@
   readonly state: WitnessState;
   /** True once the witness has voted; the vote counts whatever the witness does later. */
   readonly hasVoted: boolean;
+  /** Versions that were read before the witness was asked for its vote; recorded only if the store may return. */
+  readonly votedVersions: readonly number[];
+  /** Origin of the newest session that the witness knows. */
+  readonly knownOrigin: number;
 }
 
 /** A write of the holder that has reached the store or may still reach it. */
 interface InFlightWrite {
   readonly write: SessionWrite;
+  /** Era in which the write was sent, which is stored with the session. */
+  readonly era: number;
   readonly result: WriteAnswer | undefined;
 }
 
@@ -87,6 +116,8 @@
   readonly kind: 'heartbeat' | 'answer';
   readonly witness: Member;
   readonly sentAt: Instant;
+  /** Version of the session in force at the holder when the heartbeat was sent. */
+  readonly sentVersion: number;
   readonly isFenced: boolean;
 }
 
@@ -108,6 +139,13 @@
   readonly writesLeft: number;
   readonly clockFaultsLeft: number;
   readonly restartsLeft: number;
+  readonly returnsLeft: number;
+  /** Earlier states of the store, to which it may return. */
+  readonly history: readonly VersionedSession[];
+  /** Whether the session was ever ended; an end holds although the store may lose it. */
+  readonly wasEnded: boolean;
+  /** Witnesses that answered a heartbeat sent since the holder has seen the present era. */
+  readonly renewedSinceEra: readonly string[];
 }
 
 /** A possible step of the model. */
@@ -152,6 +190,8 @@
           replacedAt: undefined,
           state: new Map(),
           hasVoted: false,
+          votedVersions: [],
+          knownOrigin: 0,
         },
       ]),
     ),
@@ -165,6 +205,12 @@
     writesLeft: bounds.writes,
     clockFaultsLeft: bounds.clockFaults,
     restartsLeft: bounds.restarts,
+    returnsLeft: bounds.returns,
+    history: bounds.mayLackSession
+      ? [{...stored, version: 0, isAbsent: true}]
+      : [],
+    wasEnded: false,
+    renewedSinceEra: [],
   };
 }
 
@@ -173,7 +219,7 @@
   modelState: ModelState,
   bounds: ModelBounds,
 ): boolean {
-  return modelState.stored.session.isEnded && isHeld(modelState, bounds);
+  return modelState.wasEnded && isHeld(modelState, bounds);
 }
 
 /** Returns all possible next steps. */
@@ -189,6 +235,7 @@
     ...listStoreActions(modelState, bounds),
     ...listTakeoverActions(modelState, bounds),
     ...listRestarts(modelState),
+    ...listReturns(modelState, bounds),
   ];
 }
 
@@ -200,7 +247,7 @@
       ...order.map(witness => formatWitness(modelState, witness)),
       ...modelState.messages.map(
         message =>
-          `${message.kind[0]}${order.findIndex(other => other.host === message.witness.host)}${message.witness.incarnation}${formatInstant(message.sentAt)}${message.isFenced}`,
+          `${message.kind[0]}${message.sentVersion}${order.findIndex(other => other.host === message.witness.host)}${message.witness.incarnation}${formatInstant(message.sentAt)}${message.isFenced}`,
       ),
     ].join(' ');
   const rest = [
@@ -208,8 +255,8 @@
     ...writer.unsettledSets.map(formatSet),
     formatStored(modelState.stored),
     ...modelState.inFlightWrites.map(
-      ({write, result}) =>
-        `${write.expectedVersion}${formatSet(write.session.witnesses)}${write === writer.underWay}${result?.kind}`,
+      ({write, era, result}) =>
+        `${write.expectedVersion}@${era}${formatSet(write.session.witnesses)}${write === writer.underWay}${result?.kind}`,
     ),
     ...modelState.takeoverMembers.map(takeoverMember =>
       formatStored(takeoverMember.read),
@@ -218,6 +265,9 @@
     modelState.writesLeft,
     modelState.clockFaultsLeft,
     modelState.restartsLeft,
+    modelState.returnsLeft,
+    modelState.wasEnded,
+    ...modelState.history.map(formatStored).sort(),
   ].join(' ');
   // B and C are in both sets and therefore interchangeable.
   const [one, other] = [text([A, B, C, D]), text([A, C, B, D])];
@@ -236,7 +286,9 @@
   const records = [...(witness?.state.values() ?? [])].map(record =>
     record.isFenced ? 'F' : (record.heardAt?.monotonicMs ?? ''),
   );
-  return `${answers.join()}/${witness?.incarnation}${formatInstant(witness?.replacedAt)}${records.join()}${witness?.hasVoted === true ? 'v' : ''}`;
+  const isRenewed = modelState.renewedSinceEra.includes(host) ? 'r' : '';
+  const origins = `${isRenewed}${witness?.knownOrigin}:${witness?.votedVersions.join()}`;
+  return `${answers.join()}/${origins}/${witness?.incarnation}${formatInstant(witness?.replacedAt)}${records.join()}${witness?.hasVoted === true ? 'v' : ''}`;
 }
 
 function formatInstant(at: Instant | undefined): string {
@@ -246,7 +298,7 @@
 function formatStored(stored: VersionedSession | undefined): string {
   if (stored === undefined) return '-';
   const {session, version} = stored;
-  return `${version}${formatSet(session.witnesses)}${session.isEnded ? 'e' : ''}`;
+  return `${version}:${getOrigin(stored)}${stored.isAbsent === true ? '-' : ''}${formatSet(session.witnesses)}${session.isEnded ? 'e' : ''}`;
 }
 
 function formatSet(set: readonly Member[]): string {
@@ -423,6 +475,7 @@
         kind: 'heartbeat',
         witness,
         sentAt: NOW,
+        sentVersion: writer.inForce?.version ?? 0,
         isFenced: false,
       };
       actions.push({
@@ -458,7 +511,12 @@
     found,
   });
   if (step.effect.kind !== 'write') return undefined;
-  const inFlight = {write: step.effect.write, result: undefined};
+  if (!mayWrite(modelState, bounds)) return undefined;
+  const inFlight = {
+    write: step.effect.write,
+    era: getEra(modelState.writer.inForce?.version ?? 0),
+    result: undefined,
+  };
   const changed = {
     ...modelState,
     writesLeft: modelState.writesLeft - 1,
@@ -468,7 +526,37 @@
   return adoptWriter(changed, step.state, bounds);
 }
 
+/** Returns whether every active set has renewed the lease since the holder has seen the present era. */
+function mayWrite(modelState: ModelState, bounds: ModelBounds): boolean {
+  const {writer, lease, renewedSinceEra} = modelState;
+  if (writer.inForce === undefined || isConfirmed(writer.inForce)) return true;
+  if (bounds.disabledRules.has('renewed-since-era')) return true;
+  return getActiveSets(writer).every(set => {
+    const renewing = set.filter(
+      ({host}) =>
+        renewedSinceEra.includes(host) && !lease.fencedBy.has(`${host}#0`),
+    );
+    return renewing.length >= getMajority(set.length);
+  });
+}
+
 function readSession(modelState: ModelState, bounds: ModelBounds): ModelState {
+  const {writer, stored} = modelState;
+  const isOfNewEra =
+    getEra(stored.version) > getEra(writer.inForce?.version ?? 0);
+  const isAdopting =
+    isOfNewEra &&
+    !stored.session.isEnded &&
+    bounds.disabledRules.has('sets-outlive-era');
+  if (isAdopting) {
+    const {session, version, isAbsent} = stored;
+    const inForce = isAbsent === true ? writer.inForce : {session, version};
+    return adoptWriter(
+      modelState,
+      {...writer, inForce, unsettledSets: []},
+      bounds,
+    );
+  }
   const event: WriterEvent = {kind: 'seen', found: modelState.stored};
   const step = applyWriterEvent(modelState.writer, event);
   const isOldVersion =
@@ -486,7 +574,14 @@
   const sets = bounds.disabledRules.has('joint-majority')
     ? getActiveSets(writer).slice(-1)
     : getActiveSets(writer);
-  return {...modelState, writer, lease: setWitnessSets(modelState.lease, sets)};
+  const {inForce} = modelState.writer;
+  const isKept = writer.inForce?.version === inForce?.version;
+  return {
+    ...modelState,
+    writer,
+    lease: setWitnessSets(modelState.lease, sets),
+    renewedSinceEra: isKept ? modelState.renewedSinceEra : [],
+  };
 }
 
 function runHeartbeat(
@@ -499,7 +594,30 @@
     witness,
     bounds,
   );
-  return {...next, lease: applyAnswer(next.lease, answerer, NOW, isFenced)};
+  const version = modelState.writer.inForce?.version ?? 0;
+  return recordRenewal(
+    {...next, lease: applyAnswer(next.lease, answerer, NOW, isFenced)},
+    answerer,
+    version,
+    isFenced,
+  );
+}
+
+/** Records that a witness has answered a heartbeat that was sent in the era that the holder has seen last. */
+function recordRenewal(
+  modelState: ModelState,
+  {host, incarnation}: Member,
+  sentVersion: number,
+  isFenced: boolean,
+): ModelState {
+  const {renewedSinceEra: known, writer} = modelState;
+  const {inForce} = writer;
+  const isAwaited = inForce !== undefined && !isConfirmed(inForce);
+  const isSentSince = sentVersion === inForce?.version;
+  const isRenewing =
+    !isFenced && incarnation === '0' && isSentSince && isAwaited;
+  if (!isRenewing || known.includes(host)) return modelState;
+  return {...modelState, renewedSinceEra: [...known, host].sort()};
 }
 
 function receiveHeartbeat(
@@ -561,6 +679,7 @@
     kind: 'answer',
     witness: answerer,
     sentAt: message.sentAt,
+    sentVersion: message.sentVersion,
     isFenced,
   };
   return {...next, messages: [...next.messages, answer]};
@@ -571,12 +690,17 @@
   message: Message,
   bounds: ModelBounds,
 ): ModelState {
-  const {witness, isFenced} = message;
+  const {witness, sentVersion, isFenced} = message;
   const at = bounds.disabledRules.has('count-from-send') ? NOW : message.sentAt;
-  return {
-    ...modelState,
-    lease: applyAnswer(modelState.lease, witness, at, isFenced),
-  };
+  return recordRenewal(
+    {
+      ...modelState,
+      lease: applyAnswer(modelState.lease, witness, at, isFenced),
+    },
+    witness,
+    sentVersion,
+    isFenced,
+  );
 }
 
 function listStoreActions(
@@ -596,7 +720,7 @@
     if (result === undefined) {
       actions.push({
         name: 'write reaches store',
-        next: () => updateStored(put, modelState, write, isAwaited),
+        next: () => updateStored(put, modelState, flight, isAwaited, bounds),
       });
     }
     if (result !== undefined && isAwaited) {
@@ -619,16 +743,108 @@
 function updateStored(
   put: (changed: InFlightWrite | undefined) => ModelState,
   modelState: ModelState,
-  write: SessionWrite,
+  flight: InFlightWrite,
   isAwaited: boolean,
+  bounds: ModelBounds,
 ): ModelState {
-  const isMatch = modelState.stored.version === write.expectedVersion;
-  const version = modelState.stored.version + 1;
-  const result: WriteAnswer = isMatch
+  const {write, era} = flight;
+  const {stored} = modelState;
+  const isMatch =
+    getRevision(getExpectedVersion(stored)) ===
+    getRevision(write.expectedVersion);
+  const version = stored.version + 1;
+  const isAnswerKnown =
+    getEra(version) === era || bounds.disabledRules.has('other-era-is-unknown');
+  const written: WriteAnswer = isAnswerKnown
     ? {kind: 'written', version}
-    : {kind: 'conflict'};
-  const next = put(isAwaited ? {write, result} : undefined);
-  return isMatch ? {...next, stored: {session: write.session, version}} : next;
+    : {kind: 'unknown'};
+  const result: WriteAnswer = isMatch ? written : {kind: 'conflict'};
+  const next = put(isAwaited ? {...flight, result} : undefined);
+  const origin = createVersion(era, getRevision(version));
+  return isMatch
+    ? putStored(next, {session: write.session, version, origin})
+    : next;
+}
+
+/** Replaces the stored session; the state before remains one to which the store may return. */
+function putStored(
+  modelState: ModelState,
+  stored: VersionedSession,
+): ModelState {
+  const {history, stored: before, returnsLeft} = modelState;
+  const isKept =
+    returnsLeft > 0 &&
+    !history.some(other => formatStored(other) === formatStored(before));
+  return {
+    ...modelState,
+    stored,
+    history: isKept ? [...history, before] : history,
+    wasEnded: modelState.wasEnded || stored.session.isEnded,
+  };
+}
+
+function listReturns(
+  modelState: ModelState,
+  bounds: ModelBounds,
+): readonly Action[] {
+  if (modelState.returnsLeft === 0) return [];
+  return modelState.history.map(copy => ({
+    name: `store returns to ${formatStored(copy)}`,
+    next: () => resetStored(modelState, copy, bounds),
+  }));
+}
+
+function resetStored(
+  modelState: ModelState,
+  copy: VersionedSession,
+  bounds: ModelBounds,
+): ModelState {
+  const {stored, takeoverMembers} = modelState;
+  const era = getEra(stored.version) + 1;
+  const version = createVersion(era, getRevision(copy.version));
+  const returnsLeft = modelState.returnsLeft - 1;
+  const restored = {...copy, version, origin: getOrigin(copy)};
+  const knownOrigin = getOrigin(stored);
+  const witnesses = [...modelState.witnesses].map(
+    ([name, witness]): [string, ModelWitness] => [
+      name,
+      bounds.informed === 'witnesses'
+        ? {
+            ...witness,
+            knownOrigin: Math.max(witness.knownOrigin, knownOrigin),
+          }
+        : witness,
+    ],
+  );
+  return {
+    ...putStored(modelState, stored),
+    stored: restored,
+    returnsLeft,
+    history: returnsLeft === 0 ? [] : putStored(modelState, restored).history,
+    witnesses: new Map(witnesses),
+    takeoverMembers:
+      bounds.informed === 'takeover members'
+        ? takeoverMembers.map(({read}) => ({read: mergeRead(read, stored)}))
+        : takeoverMembers,
+  };
+}
+
+/** Merges what a takeover member knows with what it reads, as the view does. */
+function mergeRead(
+  known: VersionedSession | undefined,
+  stored: VersionedSession,
+): VersionedSession {
+  if (known === undefined || getOrigin(stored) >= getOrigin(known))
+    return stored;
+  const {version, isAbsent} = stored;
+  const {session} = known;
+  const origin = getOrigin(known);
+  return {
+    session,
+    version,
+    origin,
+    ...(isAbsent === undefined ? {} : {isAbsent}),
+  };
 }
 
 function applyAnswered(
@@ -646,7 +862,8 @@
   modelState: ModelState,
   bounds: ModelBounds,
 ): readonly Action[] {
-  if (modelState.stored.session.isEnded) return [];
+  const {stored, returnsLeft} = modelState;
+  if (stored.session.isEnded && returnsLeft === 0) return [];
   return modelState.takeoverMembers.flatMap((takeoverMember, index) => {
     const put = (changed: TakeoverMember): ModelState => ({
       ...modelState,
@@ -656,21 +873,27 @@
     });
     const actions: Action[] = [];
     if (takeoverMember.read?.version !== modelState.stored.version) {
-      const read = {read: modelState.stored};
+      const known = bounds.disabledRules.has('memory-wins')
+        ? undefined
+        : takeoverMember.read;
+      const read = {read: mergeRead(known, stored)};
+      if (read.read.isAbsent === true && known === undefined) return actions;
       actions.push({
         name: 'takeover member reads session',
-        next: () => put(read),
+        next: () => dropVotes(put(read)),
       });
     }
     if (takeoverMember.read === undefined) return actions;
+    if (takeoverMember.read.session.isEnded) return actions;
     const {witnesses} = takeoverMember.read.session;
+    const {read} = takeoverMember;
     for (const witness of witnesses) {
-      const asked = askForVote(modelState, witness, bounds);
+      const asked = askForVote(modelState, witness, read, bounds);
       if (asked !== undefined)
         actions.push({name: `${witness.host} votes`, next: () => asked});
     }
-    const votes = witnesses.filter(
-      other => getWitness(modelState, other).hasVoted,
+    const votes = witnesses.filter(other =>
+      hasVotedFor(getWitness(modelState, other), read, bounds),
     );
     if (votes.length >= getMajority(witnesses.length)) {
       const ended = tryEnd(modelState, takeoverMember.read, bounds);
@@ -681,16 +904,52 @@
   });
 }
 
+/** Drops the votes for versions that no takeover member will use. */
+function dropVotes(modelState: ModelState): ModelState {
+  const used = modelState.takeoverMembers.map(({read}) => read?.version);
+  const witnesses = [...modelState.witnesses].map(
+    ([name, witness]): [string, ModelWitness] => [
+      name,
+      {
+        ...witness,
+        votedVersions: witness.votedVersions.filter(version =>
+          used.includes(version),
+        ),
+      },
+    ],
+  );
+  return {...modelState, witnesses: new Map(witnesses)};
+}
+
+function hasVotedFor(
+  {hasVoted, votedVersions}: ModelWitness,
+  {version}: VersionedSession,
+  bounds: ModelBounds,
+): boolean {
+  return bounds.returns === 0 ? hasVoted : votedVersions.includes(version);
+}
+
 function askForVote(
   modelState: ModelState,
   witness: Member,
+  read: VersionedSession,
   bounds: ModelBounds,
 ): ModelState | undefined {
   const model = getWitness(modelState, witness);
-  if (model.hasVoted) return undefined;
+  if (hasVotedFor(model, read, bounds)) return undefined;
+  const isRefusing =
+    model.knownOrigin > getOrigin(read) &&
+    !bounds.disabledRules.has('newer-session-refuses');
+  if (isRefusing) return undefined;
+  const votedVersions =
+    bounds.returns === 0 ? [] : [...model.votedVersions, read.version].sort();
   const isNamed = model.incarnation === witness.incarnation;
   if (!isNamed && mayVoteForReplaced(model, witness, bounds))
-    return putWitness(modelState, witness, {...model, hasVoted: true});
+    return putWitness(modelState, witness, {
+      ...model,
+      hasVoted: bounds.returns === 0,
+      votedVersions,
+    });
   if (!isNamed && !bounds.disabledRules.has('votes-of-named-incarnation'))
     return undefined;
   const earlyMs = bounds.disabledRules.has('witness-waits-for-holder')
@@ -699,7 +958,12 @@
   const now = {monotonicMs: earlyMs, wallMs: earlyMs};
   const step = applyFence(model.state, HOLDER, now);
   if (!step.isGranted) return undefined;
-  const voted = {...model, state: step.state, hasVoted: true};
+  const voted = {
+    ...model,
+    state: step.state,
+    hasVoted: bounds.returns === 0,
+    votedVersions,
+  };
   return putWitness(modelState, witness, voted);
 }
 
@@ -720,25 +984,27 @@
   read: VersionedSession,
   bounds: ModelBounds,
 ): ModelState | undefined {
-  const isMatch = modelState.stored.version === read.version;
+  const {stored} = modelState;
+  const isMatch = bounds.disabledRules.has('old-era-conflicts')
+    ? getRevision(stored.version) === getRevision(read.version)
+    : stored.version === read.version;
   if (!isMatch && !bounds.disabledRules.has('update-at-voted-version'))
     return undefined;
-  const session = {...modelState.stored.session, isEnded: true};
-  return {
-    ...modelState,
-    stored: {session, version: modelState.stored.version + 1},
-  };
+  const session = {...read.session, isEnded: true};
+  return putStored(modelState, {session, version: stored.version + 1});
 }
 
 function listRestarts(modelState: ModelState): readonly Action[] {
   if (modelState.restartsLeft === 0) return [];
   return [A, B, C, D].map(witness => {
-    const {hasVoted} = getWitness(modelState, witness);
+    const {hasVoted, votedVersions} = getWitness(modelState, witness);
     const restarted = {
       incarnation: '1',
       replacedAt: NOW,
       state: new Map(),
       hasVoted,
+      votedVersions,
+      knownOrigin: 0,
     };
     return {
       name: `${witness.host} restarts`,
--- a/packages/membership/test/lease_paths.test.ts
+++ b/packages/membership/test/lease_paths.test.ts
@@ -23,6 +23,9 @@
   clockFaults: 6,
   isCombiningClockFaults: true,
   restarts: 2,
+  returns: 0,
+  mayLackSession: false,
+  informed: 'nobody',
   disabledRules: new Set(),
 };
 const SEED = 20_261;
