--- a/packages/scenario/test/ownership_soak.test.ts
+++ b/packages/scenario/test/ownership_soak.test.ts
@@ -269,8 +269,13 @@
 });
 
 test('the soak reports violations when a rule is disabled: a restored store starts a new era', async t => {
-  const kinds: readonly FaultKind[] = ['store-restored'];
-  const seeds = [1, 2];
-  t.true((await countViolations(seeds, {kinds, hasEras: false})) > 0);
-  t.is(await countViolations(seeds, {kinds}), 0);
+  const runs: ReadonlyArray<readonly [number, readonly FaultKind[]]> = [
+    [1, ['store-restored', 'host-loses-power', 'hot-keys-change']],
+    [1_400, ['store-restored', 'all-lose-power']],
+  ];
+  for (const [seed, kinds] of runs) {
+    const text = `seed ${seed}`;
+    t.true((await countViolations([seed], {kinds, hasEras: false})) > 0, text);
+    t.is(await countViolations([seed], {kinds}), 0, text);
+  }
 });
