Pass no key of the fleet to backend servers on the routed path

A request that was passed on to another daemon reached its backend server with `Authorization: Bearer` and the fleet's key, and without the credentials of the client. With that key a server can act as a daemon.

Cause: the forwarder puts the client's credentials under a name of its own; the path for requests that name their service puts them back and drops the key, the routed path passed on what it received. One function in headers.ts now decides for both paths.

Open in point 3: operators still have the key of the fleet, and the table of headers in docs/protocols/.

--- a/packages/daemon/src/exchange_factory.ts
+++ b/packages/daemon/src/exchange_factory.ts
@@ -23,16 +23,16 @@
 import type {Exchange} from './exchange.js';
 import {
   CALLER_HEADER,
+  createPassedHeaders,
   DEADLINE_HEADER,
-  filterHeaders,
   FIRST_GENERATION_CALLER_HEADER,
   FIRST_GENERATION_HEADER,
   FIRST_SENT_HEADER,
   getHeader,
   type HeaderMap,
   IDEMPOTENCY_HEADER,
-  FORWARDED_AUTHORIZATION_HEADER,
   REMAINING_HEADER,
+  type RequestSource,
 } from './headers.js';
 import {
   type RequestRejection,
@@ -45,9 +45,6 @@
 const MAX_KEY_LENGTH = 1_024;
 const MAX_IDEMPOTENCY_KEY_LENGTH = 256;
 
-/** Source of a request: a caller, or another daemon, whose internal headers are trusted. */
-export type RequestSource = 'caller' | 'peer';
-
 interface MatchedRules {
   readonly target: RequestTarget;
   readonly rules: ServiceRules;
@@ -211,18 +208,6 @@
   return {status: 400, message: createMessage('DD3013', {header, reason})};
 }
 
-function createPassedHeaders(
-  headers: HeaderMap,
-  source: RequestSource,
-): Record<string, string | string[]> {
-  const passed = filterHeaders(headers);
-  if (source === 'caller') return passed;
-  delete passed['authorization'];
-  const authorization = getHeader(headers, FORWARDED_AUTHORIZATION_HEADER);
-  if (authorization !== undefined) passed['authorization'] = authorization;
-  return passed;
-}
-
 function getCaller(request: IncomingMessage, source: RequestSource): string {
   const named =
     source === 'peer' ? getHeader(request.headers, CALLER_HEADER) : undefined;
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -85,6 +85,25 @@
   return forwarded;
 }
 
+/** Source of a request: a caller, or another daemon, whose internal headers are trusted. */
+export type RequestSource = 'caller' | 'peer';
+
+/**
+ * Returns the headers of a received request that go on to a backend server. A request of another daemon bears the
+ * fleet's key as credentials, and those of its caller under a separate name; the key goes no further.
+ */
+export function createPassedHeaders(
+  headers: HeaderMap,
+  source: RequestSource,
+): Record<string, string | string[]> {
+  const passed = filterHeaders(headers);
+  if (source === 'caller') return passed;
+  delete passed['authorization'];
+  const authorization = getHeader(headers, FORWARDED_AUTHORIZATION_HEADER);
+  if (authorization !== undefined) passed['authorization'] = authorization;
+  return passed;
+}
+
 /** Alternating header names and values, in the format of undici. */
 export type HeaderList = string[];
 
--- a/packages/daemon/src/lag_gate.ts
+++ b/packages/daemon/src/lag_gate.ts
@@ -7,7 +7,7 @@
 import type {Log} from '@dottereldrift/core/log.js';
 import type {System} from '@dottereldrift/core/system.js';
 
-import type {RequestSource} from './exchange_factory.js';
+import type {RequestSource} from './headers.js';
 import type {LoopMonitor} from './loop_monitor.js';
 import type {RequestTally} from './request_tally.js';
 
--- a/packages/daemon/src/request_listener.ts
+++ b/packages/daemon/src/request_listener.ts
@@ -22,7 +22,8 @@
 } from './answer_writer.js';
 import type {CallerProtocol} from './caller_protocol.js';
 import type {AttemptResult, Exchange} from './exchange.js';
-import type {ExchangeFactory, RequestSource} from './exchange_factory.js';
+import type {ExchangeFactory} from './exchange_factory.js';
+import type {RequestSource} from './headers.js';
 import {addFastPath, type RequestListener} from './fast_path.js';
 import type {RequestRejection} from './request_body.js';
 import {
--- a/packages/daemon/src/routed_exchange_factory.ts
+++ b/packages/daemon/src/routed_exchange_factory.ts
@@ -29,14 +29,14 @@
 import type {CallerProtocol} from './caller_protocol.js';
 import type {Exchange, RoutedRequest} from './exchange.js';
 import {
-  filterHeaders,
+  createPassedHeaders,
   getHeader,
   type HeaderMap,
   OFFERED_REQUESTS_HEADER,
   REMAINING_HEADER,
+  type RequestSource,
   ROUTED_HEADER,
 } from './headers.js';
-import type {RequestSource} from './exchange_factory.js';
 import type {LagGate} from './lag_gate.js';
 import type {OfferAdvisor} from './offer_advisor.js';
 import {
@@ -165,7 +165,7 @@
       routed,
       ...(offeredRequests === undefined ? {} : {offeredRequests}),
       method: request.method ?? 'GET',
-      headers: filterHeaders(request.headers),
+      headers: createPassedHeaders(request.headers, source),
       body: body.right,
       receivedAt,
       deadlineAtMs: receivedAt.monotonicMs + deadlineMs,
--- a/packages/daemon/src/shutdown_gate.ts
+++ b/packages/daemon/src/shutdown_gate.ts
@@ -13,7 +13,7 @@
   createNotRunFailure,
   SHORT_RETRY_MS,
 } from './failures.js';
-import type {RequestSource} from './exchange_factory.js';
+import type {RequestSource} from './headers.js';
 
 /** Time for callers to learn that this daemon accepts no more requests, before it restarts. */
 const RESTART_NOTICE_MS = 2_200;
--- a/packages/daemon/test/request_listener.test.ts
+++ b/packages/daemon/test/request_listener.test.ts
@@ -16,10 +16,10 @@
 import {parseTarget} from '@dottereldrift/routing/request_target.js';
 
 import type {AttemptResult, Exchange} from '../src/exchange.js';
-import {ExchangeFactory, type RequestSource} from '../src/exchange_factory.js';
+import {ExchangeFactory} from '../src/exchange_factory.js';
 import {createNotRunFailure} from '../src/failures.js';
 import {formatTarget} from '../src/forwarder.js';
-import {filterHeaders} from '../src/headers.js';
+import {filterHeaders, type RequestSource} from '../src/headers.js';
 import {addRequestRoutes, createListener} from '../src/request_listener.js';
 import type {Limits} from '../src/settings.js';
 
