--- a/packages/daemon/src/session_manager.ts
+++ b/packages/daemon/src/session_manager.ts
@@ -4,7 +4,8 @@
  * the effects.
  *
  * After the store was restored from a backup, the session is written again, once the witnesses have renewed the lease
- * since then; until then the lease goes on by the witnesses as before. The writes of a fleet are spread over a short time that grows with the number of its members.
+ * since then; until then the lease goes on by the witnesses as before. The writes of a fleet are spread over a short time
+ * that grows with the number of its members.
  */
 import * as E from 'fp-ts/lib/Either.js';
 
--- a/packages/ownership/src/assignment_recovery.ts
+++ b/packages/ownership/src/assignment_recovery.ts
@@ -14,7 +14,7 @@
 /**
  * Number of generations of one era of the store. Generations of an era begin at a multiple of it, so that they exceed
  * all generations, and hence tokens, of earlier eras, also of those that nobody remembers. With the highest era of a
- * version, 8,191, generations stay below 2^43.
+ * version, 4,095, generations stay below 2^43.
  */
 const GENERATIONS_PER_ERA = 1_000_000_000;
 
