--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -71,6 +71,15 @@
     this.command = readRunCommand(root);
     this.directory = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
+    process.on('exit', () => {
+      for (const child of this.children) child.kill('SIGKILL');
+    });
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(2));
+    // An error of the case itself is no broken rule.
+    process.on('uncaughtException', error => {
+      record.write(`the case could not run: ${error.stack}`);
+      process.exit(2);
+    });
   }
 
   async start(config, servers) {
