--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -1,7 +1,15 @@
+/* global AbortSignal, Buffer, performance, process, setTimeout */
 // Starts the project's daemons, each beside a stand-in of a backend server, on loopback addresses, with the command of
 // the deploy file and settings like those of a small deployment.
 import {spawn} from 'node:child_process';
-import {mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, appendFileSync} from 'node:fs';
+import {
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+  appendFileSync,
+} from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import {tmpdir} from 'node:os';
@@ -74,7 +82,8 @@
     process.on('exit', () => {
       for (const child of this.children) child.kill('SIGKILL');
     });
-    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => process.exit(2));
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'])
+      process.once(signal, () => process.exit(2));
     // An error of the case itself is no broken rule.
     process.on('uncaughtException', error => {
       record.write(`the case could not run: ${error.stack}`);
@@ -83,12 +92,16 @@
   }
 
   async start(config, servers) {
-    const ips = [STORE_IP, ...servers.map((_, index) => `127.0.7.${index + 10}`)];
+    const ips = [
+      STORE_IP,
+      ...servers.map((_, index) => `127.0.7.${index + 10}`),
+    ];
     for (;;) {
       this.port = 20_000 + Math.floor(Math.random() * 10_000);
       const checks = [];
       for (const ip of ips)
-        for (let port = this.port; port < this.port + PORTS; port += 1) checks.push(isFree(ip, port));
+        for (let port = this.port; port < this.port + PORTS; port += 1)
+          checks.push(isFree(ip, port));
       if ((await Promise.all(checks)).every(Boolean)) break;
     }
     await this.store.start(STORE_IP, this.port);
@@ -121,12 +134,28 @@
       seeds: [],
       bootstrap: true,
       counts_as_loss: false,
-      limits: {cpu_share: 0.54, cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: this.linkMbps, disk_mb: 0},
+      limits: {
+        cpu_share: 0.54,
+        cores: 1,
+        memory_mb: 350,
+        max_fds: 4100,
+        link_mbps: this.linkMbps,
+        disk_mb: 0,
+      },
       data_dir: null,
       discovery: 'local',
       entry: 'local',
       heartbeat_ms: 1500,
-      contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'own', 'platform'],
+      contracts: [
+        'base',
+        'drain',
+        'config',
+        'cost',
+        'retry',
+        'recover',
+        'own',
+        'platform',
+      ],
       tolerate: {machines: 2, zones: 0, regions: 0},
       bounds: BOUNDS,
       grants: 'heartbeat',
@@ -142,7 +171,13 @@
         ttl_min_ms: 1000,
       },
     };
-    const host = {index, ip, server, settings, log: join(this.directory, `${settings.node}.log`)};
+    const host = {
+      index,
+      ip,
+      server,
+      settings,
+      log: join(this.directory, `${settings.node}.log`),
+    };
     this.hosts.push(host);
     this.startDaemon(host);
     server.beatTo(settings.listen.control);
@@ -164,7 +199,9 @@
     host.daemon = child;
     child.once('exit', (code, signal) => {
       this.children.delete(child);
-      this.record.write(`process ${host.settings.node} ended: code ${code}, signal ${signal}`);
+      this.record.write(
+        `process ${host.settings.node} ended: code ${code}, signal ${signal}`,
+      );
     });
     this.record.write(`process ${host.settings.node} started`);
     return child;
@@ -205,13 +242,34 @@
   }
 
   /** Sends a request and returns what its client is told; status 0 if there is no complete answer. */
-  send(host, {path, authority, method = 'GET', deadlineMs = 2_000, key, body, agent = false, id}) {
+  send(
+    host,
+    {
+      path,
+      authority,
+      method = 'GET',
+      deadlineMs = 2_000,
+      key,
+      body,
+      agent = false,
+      id,
+    },
+  ) {
     this.requests += 1;
     const requestId = id ?? `c${this.requests.toString(16).padStart(8, '0')}`;
     const sentAt = performance.now();
     return new Promise(resolve => {
       const finish = (status, headers = {}, text = '', error = '') =>
-        resolve({id: requestId, host, sentAt, endedAt: performance.now(), status, headers, text, error});
+        resolve({
+          id: requestId,
+          host,
+          sentAt,
+          endedAt: performance.now(),
+          status,
+          headers,
+          text,
+          error,
+        });
       const request = http.request(
         `http://${host.settings.listen.outbound}${path}`,
         {
@@ -222,7 +280,9 @@
             'request-id': requestId,
             'deadline-ms': deadlineMs,
             ...(key === undefined ? {} : {'shard-key': key}),
-            ...(body === undefined ? {} : {'content-length': Buffer.byteLength(body)}),
+            ...(body === undefined
+              ? {}
+              : {'content-length': Buffer.byteLength(body)}),
           },
           signal: AbortSignal.timeout(deadlineMs + 500),
         },
@@ -232,12 +292,15 @@
           response.on('error', () => {});
           response.once('close', () => {
             const text = Buffer.concat(parts).toString();
-            if (response.complete) finish(response.statusCode, response.headers, text);
+            if (response.complete)
+              finish(response.statusCode, response.headers, text);
             else finish(0, response.headers, text, 'cut');
           });
         },
       );
-      request.once('error', error => finish(0, {}, '', error.code ?? error.name));
+      request.once('error', error =>
+        finish(0, {}, '', error.code ?? error.name),
+      );
       request.end(body);
     });
   }
@@ -254,7 +317,8 @@
     }
     for (const {server} of this.hosts) if (!server.isStopped) server.stop();
     this.store.stop();
-    if (process.env.KEEP !== '1') rmSync(this.directory, {recursive: true, force: true});
+    if (process.env.KEEP !== '1')
+      rmSync(this.directory, {recursive: true, force: true});
   }
 }
 
@@ -263,7 +327,11 @@
   return {
     version: version.toString(16).padStart(8, '0'),
     resources: [
-      ...routes.map(({name, ...spec}) => ({res_type: 'routes', metadata: {name}, spec})),
+      ...routes.map(({name, ...spec}) => ({
+        res_type: 'routes',
+        metadata: {name},
+        spec,
+      })),
       ...services.map(({name, ...spec}) => ({
         res_type: 'services',
         metadata: {name},
--- a/review/standins-2/server.mjs
+++ b/review/standins-2/server.mjs
@@ -1,11 +1,10 @@
+/* global AbortSignal, Buffer, clearTimeout, performance, setTimeout */
 // Stand-in of a backend server. It runs requests for the time that their path names, echoes Request-Id, answers 421 to
 // a request that expects another instance, and sends heartbeats to the control address of its own machine. A server of
 // a service that is divided by key runs a request only while it holds the key.
 import http from 'node:http';
 import {randomBytes} from 'node:crypto';
 
-const KEYS = 65_536;
-
 export class Server {
   state = 'ready';
   seq = 0;
@@ -18,7 +17,13 @@
   /** Called with each answer to a heartbeat. */
   onBeat = () => {};
 
-  constructor({service, slots = 9, isSharded = false, beatMs = 1_500, log = () => {}}) {
+  constructor({
+    service,
+    slots = 9,
+    isSharded = false,
+    beatMs = 1_500,
+    log = () => {},
+  }) {
     Object.assign(this, {service, slots, isSharded, beatMs, log});
     this.id = `i-${randomBytes(5).toString('hex')}`;
   }
@@ -27,7 +32,9 @@
     this.born = Date.now();
     this.ip = ip;
     this.port = port;
-    this.server = http.createServer((request, response) => this.handle(request, response));
+    this.server = http.createServer((request, response) =>
+      this.handle(request, response),
+    );
     this.server.keepAliveTimeout = 10_000;
     await new Promise(resolve => this.server.listen(port, ip, resolve));
     this.port = this.server.address().port;
@@ -51,7 +58,9 @@
     while (!this.isStopped) {
       const sentAt = performance.now();
       const isReleasing = await this.beat();
-      const delay = isReleasing ? 50 : this.beatMs - (performance.now() - sentAt);
+      const delay = isReleasing
+        ? 50
+        : this.beatMs - (performance.now() - sentAt);
       await new Promise(resolve => {
         this.timer = setTimeout(resolve, Math.max(10, delay));
       });
@@ -95,7 +104,8 @@
         {
           method,
           agent: false,
-          headers: body === undefined ? {} : {'content-type': 'application/json'},
+          headers:
+            body === undefined ? {} : {'content-type': 'application/json'},
           signal: AbortSignal.timeout(1_000),
         },
         response => {
@@ -104,8 +114,13 @@
           response.on('error', () => resolve(undefined));
           response.on('end', () => {
             const text = Buffer.concat(parts).toString();
-            const isAcknowledged = response.statusCode === 200 && text.length <= 4_096;
-            resolve(isAcknowledged ? JSON.parse(text === '' ? '{}' : text) : undefined);
+            const isAcknowledged =
+              response.statusCode === 200 && text.length <= 4_096;
+            resolve(
+              isAcknowledged
+                ? JSON.parse(text === '' ? '{}' : text)
+                : undefined,
+            );
           });
         },
       );
@@ -115,11 +130,15 @@
   }
 
   isHeld(key, now = performance.now()) {
-    return this.holds.some(row => row.from <= key && key <= row.to && row.endsAt > now);
+    return this.holds.some(
+      row => row.from <= key && key <= row.to && row.endsAt > now,
+    );
   }
 
   listHolds(now) {
-    const rows = this.holds.filter(row => row.endsAt > now).map(({from, to, fence}) => [from, to, fence]);
+    const rows = this.holds
+      .filter(row => row.endsAt > now)
+      .map(({from, to, fence}) => [from, to, fence]);
     for (const [key, {fence, count}] of this.working)
       if (count > 0 && !this.isHeld(key, now)) rows.push([key, key, fence]);
     return rows;
@@ -132,7 +151,10 @@
     const isKept = row =>
       next.some(({from, to}) => from <= row.from && row.to <= to);
     const left = this.holds.filter(row => !isKept(row));
-    this.freed = [...this.freed, ...left.map(({from, to}) => [from, to, randomBytes(8).toString('hex')])];
+    this.freed = [
+      ...this.freed,
+      ...left.map(({from, to}) => [from, to, randomBytes(8).toString('hex')]),
+    ];
     this.holds = next;
     return left.length > 0;
   }
@@ -141,7 +163,9 @@
     const {headers} = request;
     const id = String(headers['request-id'] ?? '');
     if (request.url === '/health') {
-      response.writeHead(this.state === 'ready' ? 200 : 503, {instance: this.id});
+      response.writeHead(this.state === 'ready' ? 200 : 503, {
+        instance: this.id,
+      });
       response.end();
       return;
     }
@@ -152,7 +176,11 @@
       const isOther = expected !== undefined && expected !== this.id;
       const isForeignKey = this.isSharded && !this.isHeld(key);
       if (isOther || isForeignKey) {
-        response.writeHead(421, {'request-id': id, 'not-run': '1', 'content-length': 0});
+        response.writeHead(421, {
+          'request-id': id,
+          'not-run': '1',
+          'content-length': 0,
+        });
         response.end();
         return;
       }
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -1,3 +1,4 @@
+/* global Buffer, URL, clearTimeout, setTimeout */
 // Stand-in of the platform's metadata store: objects by kind and name, conditional writes, watches.
 // While it is down it accepts connections and answers nothing, as a store that is silent.
 import http from 'node:http';
@@ -11,7 +12,9 @@
   held = new Set();
 
   async start(ip, port) {
-    this.server = http.createServer((request, response) => this.handle(request, response));
+    this.server = http.createServer((request, response) =>
+      this.handle(request, response),
+    );
     this.server.keepAliveTimeout = 0;
     await new Promise(resolve => this.server.listen(port, ip, resolve));
   }
@@ -40,7 +43,8 @@
 
   put(kind, name, spec) {
     const before = this.objects(kind).get(name);
-    if (before && JSON.stringify(before.spec) === JSON.stringify(spec)) return before;
+    if (before && JSON.stringify(before.spec) === JSON.stringify(spec))
+      return before;
     this.revision += 1;
     const object = {
       metadata: {
@@ -63,7 +67,11 @@
     if (!object) return;
     this.objects(kind).delete(name);
     this.revision += 1;
-    this.notify(kind, {...object, metadata: {...object.metadata, rev: this.revision}}, true);
+    this.notify(
+      kind,
+      {...object, metadata: {...object.metadata, rev: this.revision}},
+      true,
+    );
   }
 
   notify(kind, object, removed) {
@@ -109,13 +117,15 @@
       const known = this.objects(kind).get(name);
       const rev = body.metadata?.rev;
       if (!known) send(404, {});
-      else if (rev !== undefined && rev !== known.metadata.rev) send(409, known);
+      else if (rev !== undefined && rev !== known.metadata.rev)
+        send(409, known);
       else send(200, this.put(kind, name, body.spec));
     } else if (request.method === 'DELETE') {
       const known = this.objects(kind).get(name);
       const rev = url.searchParams.get('rev');
       if (!known) send(404, {});
-      else if (rev !== null && Number(rev) !== known.metadata.rev) send(409, known);
+      else if (rev !== null && Number(rev) !== known.metadata.rev)
+        send(409, known);
       else {
         this.remove(kind, name);
         send(200, known);
@@ -125,9 +135,10 @@
 
   watch(kind, parameters, send, socket) {
     const from = Number(parameters.get('watch'));
-    const endMs = Date.now() + Math.min(30_000, Number(parameters.get('wait_ms') ?? 0));
-    const list = () => this.events.filter(event => event.kind === kind && event.rev > from);
-    let timer;
+    const endMs =
+      Date.now() + Math.min(30_000, Number(parameters.get('wait_ms') ?? 0));
+    const list = () =>
+      this.events.filter(event => event.kind === kind && event.rev > from);
     const check = () => {
       const found = list();
       if (found.length === 0 && Date.now() < endMs) return;
@@ -137,7 +148,7 @@
       send(200, {events, store_revision: this.revision});
     };
     this.waiting.add(check);
-    timer = setTimeout(check, Math.max(0, endMs - Date.now()) + 1);
+    const timer = setTimeout(check, Math.max(0, endMs - Date.now()) + 1);
     socket.setMaxListeners(0);
     socket.once('close', () => {
       clearTimeout(timer);
