--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -48,10 +48,17 @@
     this.path = path;
     writeFileSync(path, '');
   }
+  formatTime(at = performance.now()) {
+    return `${((at - this.startedAt) / 1_000).toFixed(3)} s`;
+  }
   write(text) {
-    const line = `${((performance.now() - this.startedAt) / 1_000).toFixed(3)} s  ${text}\n`;
-    appendFileSync(this.path, line);
-    process.stdout.write(line);
+    const line = `${this.formatTime()}  ${text}`;
+    this.append(line);
+    process.stdout.write(`${line}\n`);
+  }
+  /** Writes a line to the file alone. */
+  append(line) {
+    appendFileSync(this.path, `${line}\n`);
   }
 }
 
@@ -262,6 +269,7 @@
       const finish = (status, headers = {}, text = '', error = '') =>
         resolve({
           id: requestId,
+          key,
           host,
           sentAt,
           endedAt: performance.now(),
